--- /dev/null
+++ b/catalogue/estate.go
@@ -0,0 +1,63 @@
+package catalogue
+
+// EstateSpec holds the values that NewEstate takes.
+type EstateSpec struct {
+	// Generation grows by one with every accepted change.
+	Generation uint64
+	// Domains are the failure domains, in catalogue order.
+	Domains []*Domain
+	// Owners are the owners, in catalogue order.
+	Owners []*Owner
+	// Services are the services, in catalogue order.
+	Services []*Service
+}
+
+// Estate is an accepted catalogue: everything that operators declared, at one generation.
+type Estate struct {
+	spec EstateSpec
+}
+
+// NewEstate returns the immutable Estate that spec describes.
+func NewEstate(spec EstateSpec) Estate {
+	return Estate{spec: spec}
+}
+
+// Generation grows by one with every accepted change.
+func (e Estate) Generation() uint64 { return e.spec.Generation }
+
+// Domains are the failure domains, in catalogue order.
+func (e Estate) Domains() []*Domain { return e.spec.Domains }
+
+// Owners are the owners, in catalogue order.
+func (e Estate) Owners() []*Owner { return e.spec.Owners }
+
+// Services are the services, in catalogue order.
+func (e Estate) Services() []*Service { return e.spec.Services }
+
+// Domain finds a failure domain by name.
+func (e Estate) Domain(name string) (*Domain, bool) { return find(e.spec.Domains, name) }
+
+// Owner finds an owner by name.
+func (e Estate) Owner(name string) (*Owner, bool) { return find(e.spec.Owners, name) }
+
+// Service finds a service by name.
+func (e Estate) Service(name string) (*Service, bool) { return find(e.spec.Services, name) }
+
+// InService reports whether the failure domain accepts new work.
+// A domain that the catalogue does not list accepts none.
+func (e Estate) InService(domain string) bool {
+	d, ok := e.Domain(domain)
+	return ok && d.InService()
+}
+
+type named interface{ Name() string }
+
+func find[T named](entries []T, name string) (T, bool) {
+	for _, e := range entries {
+		if e.Name() == name {
+			return e, true
+		}
+	}
+	var none T
+	return none, false
+}
--- /dev/null
+++ b/catalogue/owner.go
@@ -0,0 +1,22 @@
+package catalogue
+
+// OwnerSpec holds the values that NewOwner takes.
+type OwnerSpec struct {
+	EntrySpec
+	// ClassLimits gives the limits of each class that the owner may use; a class that is absent is refused.
+	ClassLimits map[Class]Limits
+}
+
+// Owner is a party that sends requests, with its limits per class.
+type Owner struct {
+	Entry
+	spec OwnerSpec
+}
+
+// NewOwner returns the immutable Owner that spec describes.
+func NewOwner(spec OwnerSpec) *Owner {
+	return &Owner{Entry: NewEntry(spec.EntrySpec), spec: spec}
+}
+
+// ClassLimits gives the limits of each class that the owner may use; a class that is absent is refused.
+func (o *Owner) ClassLimits() map[Class]Limits { return o.spec.ClassLimits }
--- /dev/null
+++ b/clock/clocktest/doc.go
@@ -0,0 +1,2 @@
+// Package clocktest provides a clock that tests move by hand.
+package clocktest
--- /dev/null
+++ b/invariant/check.go
@@ -0,0 +1,38 @@
+package invariant
+
+import (
+	"fmt"
+	"sync/atomic"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/rs/zerolog/log"
+)
+
+// Name identifies one invariant in counters and logs.
+type Name string
+
+var fatal atomic.Bool
+
+// FatalInTests makes every violation panic. Test binaries call it in TestMain
+// or init, and randomised runs set it through the environment of the daemon.
+func FatalInTests() { fatal.Store(true) }
+
+// Check reports a violation of the invariant when ok is false.
+// The format and args describe the state that broke it.
+func Check(name Name, ok bool, format string, args ...any) bool {
+	if ok {
+		return true
+	}
+	metrics.GetOrRegisterCounter("invariant."+string(name), metrics.DefaultRegistry).Inc(1)
+	detail := fmt.Sprintf(format, args...)
+	if fatal.Load() {
+		panic("invariant " + string(name) + ": " + detail)
+	}
+	log.Error().Str("invariant", string(name)).Str("detail", detail).Msg("invariant violated")
+	return false
+}
+
+// Violations returns the number of violations of the invariant so far.
+func Violations(name Name) int64 {
+	return metrics.GetOrRegisterCounter("invariant."+string(name), metrics.DefaultRegistry).Count()
+}
--- /dev/null
+++ b/refusal/answer.go
@@ -0,0 +1,74 @@
+package refusal
+
+// Retry is the advice to a caller about sending a refused request again.
+type Retry string
+
+// The values of Retry.
+const (
+	RetryNever   Retry = "never"   // The same request is refused again.
+	RetryLater   Retry = "later"   // After a pause, at any address.
+	RetryElse    Retry = "else"    // At once, at another address.
+	RetryAddress Retry = "address" // After asking for addresses again.
+	RetryConfirm Retry = "confirm" // Only after the caller has found out whether it ran.
+)
+
+// Answer is what a caller receives for a Kind.
+type Answer struct {
+	kind   Kind
+	status int
+	ran    Ran
+	retry  Retry
+}
+
+// Kind returns the kind that the answer belongs to.
+func (a Answer) Kind() Kind { return a.kind }
+
+// Status returns the HTTP status.
+func (a Answer) Status() int { return a.status }
+
+// Ran returns what the kind alone proves about the request having run.
+func (a Answer) Ran() Ran { return a.ran }
+
+// Retry returns the advice on sending the request again.
+func (a Answer) Retry() Retry { return a.retry }
+
+var table = []Answer{
+	{Malformed, 400, NotRun, RetryNever},
+	{TooLarge, 413, NotRun, RetryNever},
+	{UnknownService, 404, NotRun, RetryNever},
+	{UnknownOwner, 403, NotRun, RetryNever},
+	{ClassDenied, 403, NotRun, RetryNever},
+	{RateLimited, 429, NotRun, RetryLater},
+	{Overloaded, 503, NotRun, RetryElse},
+	{Deadline, 504, Unknown, RetryConfirm},
+	{Cancelled, 499, Unknown, RetryConfirm},
+	{NoSearcher, 503, NotRun, RetryLater},
+	{Cold, 503, NotRun, RetryLater},
+	{SnapshotGone, 503, NotRun, RetryLater},
+	{NoSnapshot, 503, NotRun, RetryLater},
+	{BadReply, 502, Unknown, RetryConfirm},
+	{SearcherFailed, 502, Unknown, RetryConfirm},
+	{HomeUnreachable, 503, Unknown, RetryConfirm},
+	{NotHome, 503, NotRun, RetryElse},
+	{Poisoned, 422, NotRun, RetryNever},
+	{WrongIncarnation, 409, NotRun, RetryAddress},
+	{TicketExpired, 410, NotRun, RetryAddress},
+	{OutcomeUnknown, 502, Unknown, RetryConfirm},
+	{ShuttingDown, 503, NotRun, RetryAddress},
+	{NoConfiguration, 503, NotRun, RetryElse},
+	{Internal, 500, Unknown, RetryConfirm},
+}
+
+// Table returns one Answer for each Kind but None.
+func Table() []Answer { return append([]Answer(nil), table...) }
+
+// For returns the Answer of kind. A kind that is not in the list, such as one
+// from a newer peer, is answered as Internal.
+func For(kind Kind) Answer {
+	for _, a := range table {
+		if a.kind == kind {
+			return a
+		}
+	}
+	return For(Internal)
+}
