--- /dev/null
+++ b/lease/doc.go
@@ -0,0 +1,3 @@
+// Package lease holds the terms on which a daemon may act as home of a replica
+// group.
+package lease
