--- /dev/null
+++ b/standin/objects/handler.go
@@ -0,0 +1,149 @@
+package objects
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"medlaryard.example/medlaryard/store"
+)
+
+const (
+	objectsPath = "/v1/objects"
+	// maxBodyBytes is a base64 value of the highest size with its frame.
+	maxBodyBytes = 2 * store.MaxValueBytes
+	// maxWait bounds a long poll, whatever the client asks for.
+	maxWait = time.Minute
+)
+
+type wireObject struct {
+	Key     string `json:"key"`
+	Version uint64 `json:"version"`
+	Value   []byte `json:"value"`
+}
+
+type wireList struct {
+	Objects []wireObject `json:"objects"`
+}
+
+type wirePut struct {
+	Expected *uint64 `json:"expected"`
+	Value    []byte  `json:"value"`
+}
+
+// Handler serves a Store by the object protocol of docs/platform-protocols.md.
+// POST /admin/faults replaces the Faults and GET /admin/calls returns Calls.
+type Handler struct{ s *Store }
+
+// NewHandler returns a Handler for s.
+func NewHandler(s *Store) *Handler { return &Handler{s: s} }
+
+// ServeHTTP implements http.Handler.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	key := strings.TrimPrefix(r.URL.Path, objectsPath+"/")
+	switch {
+	case r.URL.Path == "/admin/faults" && r.Method == http.MethodPost:
+		h.setFaults(w, r)
+	case r.URL.Path == "/admin/calls":
+		reply(w, h.s.Calls())
+	case r.URL.Path == objectsPath:
+		h.list(w, r)
+	case key == r.URL.Path:
+		http.NotFound(w, r)
+	case r.Method == http.MethodPut:
+		h.put(w, r, key)
+	case r.URL.Query().Has("seen"):
+		h.watch(w, r, key)
+	default:
+		o, err := h.s.Get(r.Context(), key)
+		replyObject(w, o, err)
+	}
+}
+
+func (h *Handler) setFaults(w http.ResponseWriter, r *http.Request) {
+	var f Faults
+	if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	h.s.SetFaults(f)
+	reply(w, f)
+}
+
+func (h *Handler) list(w http.ResponseWriter, r *http.Request) {
+	objects, err := h.s.List(r.Context(), r.URL.Query().Get("prefix"))
+	if err != nil {
+		replyObject(w, store.Object{}, err)
+		return
+	}
+	list := wireList{Objects: []wireObject{}}
+	for _, o := range objects {
+		list.Objects = append(list.Objects, wireObject{o.Key(), o.Version(), o.Value()})
+	}
+	reply(w, list)
+}
+
+func (h *Handler) put(w http.ResponseWriter, r *http.Request, key string) {
+	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	var put wirePut
+	if err == nil {
+		err = json.Unmarshal(data, &put)
+	}
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	if len(put.Value) > store.MaxValueBytes {
+		http.Error(w, "value exceeds 1 MB", http.StatusRequestEntityTooLarge)
+		return
+	}
+	expected := store.Any
+	if put.Expected != nil {
+		expected = *put.Expected
+	}
+	o, err := h.s.Put(r.Context(), key, put.Value, expected)
+	replyObject(w, o, err)
+}
+
+func (h *Handler) watch(w http.ResponseWriter, r *http.Request, key string) {
+	seen, err := strconv.ParseUint(r.URL.Query().Get("seen"), 10, 64)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	wait := maxWait
+	if ms, err := strconv.Atoi(r.URL.Query().Get("wait_ms")); err == nil {
+		wait = min(wait, time.Duration(ms)*time.Millisecond)
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), wait)
+	defer cancel()
+	o, err := h.s.Watch(ctx, key, seen)
+	if errors.Is(err, context.DeadlineExceeded) && !errors.Is(err, store.ErrUnavailable) {
+		w.WriteHeader(http.StatusNoContent)
+		return
+	}
+	replyObject(w, o, err)
+}
+
+func replyObject(w http.ResponseWriter, o store.Object, err error) {
+	switch {
+	case err == nil:
+		reply(w, wireObject{o.Key(), o.Version(), o.Value()})
+	case errors.Is(err, store.ErrNotFound):
+		http.Error(w, err.Error(), http.StatusNotFound)
+	case errors.Is(err, store.ErrConflict):
+		http.Error(w, err.Error(), http.StatusConflict)
+	default:
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+	}
+}
+
+func reply(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v)
+}
--- /dev/null
+++ b/standin/searchers/handler.go
@@ -0,0 +1,198 @@
+package searchers
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+)
+
+// maxBodyBytes bounds a request body.
+const maxBodyBytes = 1 << 20
+
+type wireSnapshot struct {
+	Snapshot  uint64 `json:"snapshot"`
+	Map       string `json:"map"`
+	Low       uint64 `json:"low"`
+	High      uint64 `json:"high"`
+	Documents uint64 `json:"documents"`
+	Total     uint64 `json:"total"`
+}
+
+type wireReply struct {
+	ID    string `json:"id"`
+	Shard string `json:"shard"`
+	wireSnapshot
+	Version string `json:"version"`
+	Hits    []Hit  `json:"hits"`
+	Body    []byte `json:"body,omitempty"`
+}
+
+type wireHealth struct {
+	State     string         `json:"state"`
+	Version   string         `json:"version"`
+	Boot      string         `json:"boot"`
+	InFlight  int            `json:"inflight"`
+	Shard     string         `json:"shard"`
+	Snapshots []wireSnapshot `json:"snapshots"`
+}
+
+func (s *Searcher) handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/search", func(w http.ResponseWriter, r *http.Request) { s.serveCall(w, r, false) })
+	mux.HandleFunc("POST /v1/run", func(w http.ResponseWriter, r *http.Request) { s.serveCall(w, r, true) })
+	mux.HandleFunc("POST /v1/cancel", s.serveCancel)
+	mux.HandleFunc("GET /v1/health", s.serveHealth)
+	return mux
+}
+
+func (s *Searcher) serveCall(w http.ResponseWriter, r *http.Request, run bool) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	k := newCall(r, run, body, s.clock)
+	defer k.cancel(nil)
+	o := s.perform(k)
+	if o.broken {
+		panic(http.ErrAbortHandler)
+	}
+	s.mu.Lock()
+	w.Header().Set("X-Boot", s.bootLocked())
+	f := s.faults
+	s.mu.Unlock()
+	if o != answered {
+		if o.reason != "" {
+			w.Header().Set("X-Ran", "no")
+			w.Header().Set("X-Reason", o.reason)
+		}
+		http.Error(w, http.StatusText(o.status), o.status)
+		return
+	}
+	s.writeReply(w, s.reply(k, f), f)
+}
+
+func (s *Searcher) serveCancel(_ http.ResponseWriter, r *http.Request) {
+	id := r.Header.Get("X-Request-Id")
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for k := range s.calls {
+		if k.id == id {
+			k.cancel(errCancelled)
+		}
+	}
+}
+
+func (s *Searcher) serveHealth(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	h := wireHealth{
+		State:     s.stateLocked(),
+		Version:   s.cfg.Version,
+		Boot:      s.bootLocked(),
+		InFlight:  s.inFlight,
+		Shard:     s.cfg.Shard,
+		Snapshots: []wireSnapshot{},
+	}
+	held := s.snapshots
+	s.mu.Unlock()
+	for _, k := range held {
+		h.Snapshots = append(h.Snapshots, s.announce(k))
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(h)
+}
+
+func (s *Searcher) stateLocked() string {
+	switch {
+	case s.faults.Health != "":
+		return s.faults.Health
+	case s.draining:
+		return "draining"
+	case s.cold:
+		return "cold"
+	default:
+		return "ready"
+	}
+}
+
+func (s *Searcher) keys(h Held) Range {
+	low, high := Partition{Layout: h.Layout, Shards: s.cfg.Shards}.Range(s.cfg.Index)
+	return Range{Low: low, High: high}
+}
+
+func (s *Searcher) announce(h Held) wireSnapshot {
+	r := s.keys(h)
+	return wireSnapshot{
+		Snapshot:  h.Snapshot,
+		Map:       Partition{Layout: h.Layout, Shards: s.cfg.Shards}.ID(),
+		Low:       r.Low,
+		High:      r.High,
+		Documents: s.corpus.Count(h.Snapshot, r),
+		Total:     s.corpus.Total(h.Snapshot),
+	}
+}
+
+func (s *Searcher) reply(k *call, f Faults) wireReply {
+	p := wireReply{ID: k.id, Shard: s.cfg.Shard, wireSnapshot: s.announce(k.held), Version: s.cfg.Version, Hits: []Hit{}}
+	if k.run {
+		p.Body = append([]byte("ran "), k.body...)
+	} else {
+		p.Hits = s.corpus.Search(k.held.Snapshot, []Range{s.keys(k.held)}, k.body, k.limit)
+	}
+	if s.chance(f.Mislabel) {
+		p = mislabel(p, f.MislabelField)
+	}
+	return p
+}
+
+func mislabel(p wireReply, field string) wireReply {
+	switch field {
+	case "id":
+		p.ID = "other-" + p.ID
+	case "shard":
+		p.Shard = "other-" + p.Shard
+	case "map":
+		p.Map = "other-" + p.Map
+	case "range":
+		p.Low, p.High = p.High, p.High+(p.High-p.Low)
+	default:
+		p.Snapshot++
+	}
+	return p
+}
+
+func (s *Searcher) writeReply(w http.ResponseWriter, p wireReply, f Faults) {
+	data, err := json.Marshal(p)
+	if err != nil {
+		panic(err)
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(data)))
+	switch {
+	case s.chance(f.Truncate):
+		_, _ = w.Write(data[:len(data)/2])
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	case s.chance(f.Duplicate):
+		writeTwice(w, data)
+	default:
+		_, _ = w.Write(data)
+	}
+}
+
+// writeTwice sends the reply twice and keeps the connection open, so that the
+// next request on it meets the second copy.
+func writeTwice(w http.ResponseWriter, data []byte) {
+	c, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(err)
+	}
+	defer c.Close()
+	head := "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: " + strconv.Itoa(len(data)) + "\r\n\r\n"
+	reply := append([]byte(head), data...)
+	if _, err := c.Write(append(reply, reply...)); err != nil {
+		return
+	}
+	_, _ = io.Copy(io.Discard, c)
+}
--- /dev/null
+++ b/standin/searchers/record.go
@@ -0,0 +1,39 @@
+package searchers
+
+import "time"
+
+// Record is what a searcher experienced, by which tests check promises.
+type Record struct {
+	Received    int `json:"received"`
+	Answered    int `json:"answered"`
+	Shed        int `json:"shed"`
+	NotHeld     int `json:"not_held"`
+	WrongShard  int `json:"wrong_shard"`
+	Cancelled   int `json:"cancelled"`
+	Expired     int `json:"expired"`
+	Errors      int `json:"errors"`
+	Crashes     int `json:"crashes"`
+	Collapses   int `json:"collapses"`
+	Connections int `json:"connections"`
+	// RefusedConnections were closed because the cap was reached.
+	RefusedConnections int `json:"refused_connections"`
+	PeakConnections    int `json:"peak_connections"`
+	PeakInFlight       int `json:"peak_in_flight"`
+	// PeakCold is the highest number of requests in flight during a cold start.
+	PeakCold int `json:"peak_cold"`
+	// AfterDrain counts requests that arrived while draining, and LastAfterDrain
+	// is how long after the drain began the last of them arrived.
+	AfterDrain     int           `json:"after_drain"`
+	LastAfterDrain time.Duration `json:"last_after_drain_ns"`
+	// Runs counts the runs of each non-idempotent request by identifier.
+	Runs map[string]int `json:"runs,omitempty"`
+}
+
+func (r Record) copy() Record {
+	runs := make(map[string]int, len(r.Runs))
+	for id, n := range r.Runs {
+		runs[id] = n
+	}
+	r.Runs = runs
+	return r
+}
