--- a/standin/searchers/corpus.go
+++ b/standin/searchers/corpus.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"encoding/json"
 	"fmt"
 	"sort"
 	"sync"
@@ -19,9 +20,9 @@
 
 // Hit is one result, in the form of the target protocol.
 type Hit struct {
-	ID    string  `json:"id"`
-	Score float64 `json:"score"`
-	Data  []byte  `json:"data"`
+	ID    string          `json:"id"`
+	Score float64         `json:"score"`
+	Data  json.RawMessage `json:"data"`
 }
 
 // Corpus is a set of documents for each snapshot, determined by a seed.
@@ -82,7 +83,7 @@
 		ID: fmt.Sprintf("d%d", number),
 		// 53 bits are exact in a float64.
 		Score: float64(h>>11) / (1 << 53),
-		Data:  fmt.Appendf(nil, "document %d of snapshot %d", number, snapshot),
+		Data:  fmt.Appendf(nil, `"document %d of snapshot %d"`, number, snapshot),
 	}
 }
 
--- a/standin/searchers/handler.go
+++ b/standin/searchers/handler.go
@@ -23,9 +23,15 @@
 	ID    string `json:"id"`
 	Shard string `json:"shard"`
 	wireSnapshot
-	Version string `json:"version"`
-	Hits    []Hit  `json:"hits"`
-	Body    []byte `json:"body,omitempty"`
+	Version string  `json:"version"`
+	Hits    []Hit   `json:"hits"`
+	Body    *runLog `json:"body,omitempty"`
+}
+
+// runLog is the answer of a non-idempotent request.
+type runLog struct {
+	Searcher string `json:"searcher"`
+	Ran      string `json:"ran"`
 }
 
 type wireHealth struct {
@@ -136,7 +142,7 @@
 func (s *Searcher) reply(k *call, f Faults) wireReply {
 	p := wireReply{ID: k.id, Shard: s.cfg.Shard, wireSnapshot: s.announce(k.held), Version: s.cfg.Version, Hits: []Hit{}}
 	if k.run {
-		p.Body = append([]byte("ran "), k.body...)
+		p.Body = &runLog{Searcher: s.cfg.Name, Ran: string(k.body)}
 	} else {
 		p.Hits = s.corpus.Search(k.held.Snapshot, []Range{s.keys(k.held)}, k.body, k.limit)
 	}
