--- /dev/null
+++ b/standin/load/report.go
@@ -0,0 +1,130 @@
+package load
+
+import (
+	"fmt"
+	"io"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+const (
+	// The histogram records microseconds up to one minute with three digits.
+	maxLatency = time.Minute
+	digits     = 3
+	// maxFaults bounds the faults that are kept in words; all are counted.
+	maxFaults = 20
+)
+
+// Report is the result of a run.
+type Report struct {
+	mu       sync.Mutex
+	latency  *hdrhistogram.Histogram
+	sent     int
+	answered int
+	full     int
+	refused  map[string]int
+	faults   int
+	details  []string
+	extra    *Extra
+}
+
+func newReport() *Report {
+	return &Report{
+		latency: hdrhistogram.New(1, maxLatency.Microseconds(), digits),
+		refused: make(map[string]int),
+	}
+}
+
+// Sent returns the number of requests.
+func (r *Report) Sent() int { return r.sent }
+
+// Answered returns the number of answers that are no refusals.
+func (r *Report) Answered() int { return r.answered }
+
+// Full returns the number of answers with full coverage or an outcome.
+func (r *Report) Full() int { return r.full }
+
+// Refused returns the number of refusals by kind.
+func (r *Report) Refused() map[string]int { return r.refused }
+
+// Faults returns the number of false answers and the first of them in words.
+func (r *Report) Faults() (int, []string) { return r.faults, r.details }
+
+// Quantile returns a quantile of the latency of answers, from their intended start.
+func (r *Report) Quantile(percent float64) time.Duration {
+	return time.Duration(r.latency.ValueAtPercentile(percent)) * time.Microsecond
+}
+
+// Extra returns the sub-requests of the daemons during the run, nil when they
+// were not read.
+func (r *Report) Extra() *Extra { return r.extra }
+
+// WriteMarkdown writes the report as a table.
+func (r *Report) WriteMarkdown(w io.Writer) {
+	fmt.Fprintln(w, "| Measure | Value |\n|---|---|")
+	row := func(name, format string, args ...any) {
+		fmt.Fprintf(w, "| %s | %s |\n", name, fmt.Sprintf(format, args...))
+	}
+	row("requests", "%d", r.sent)
+	row("answered", "%d", r.answered)
+	for _, q := range []float64{50, 95, 99} {
+		row(fmt.Sprintf("p%g", q), "%.1f ms", ms(r.Quantile(q)))
+	}
+	row("max", "%.1f ms", ms(time.Duration(r.latency.Max())*time.Microsecond))
+	row("full coverage", "%.3f%% of requests", percent(r.full, r.sent))
+	for _, kind := range sortedKeys(r.refused) {
+		row("refused "+kind, "%d", r.refused[kind])
+	}
+	if r.extra != nil {
+		row("sub-requests", "%d", r.extra.SubRequests)
+		row("extra sub-requests", "%d (%.2f%%)", r.extra.Hedges+r.extra.Retries, 100*r.extra.Ratio())
+	}
+	row("false answers", "%d", r.faults)
+	for _, d := range r.details {
+		row("false answer", "%s", d)
+	}
+}
+
+// answer records one answer that arrived after latency.
+func (r *Report) answer(a wireAnswer, latency time.Duration, full bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.sent++
+	if a.Kind != "" {
+		r.refused[a.Kind]++
+		return
+	}
+	r.answered++
+	if full {
+		r.full++
+	}
+	_ = r.latency.RecordValue(min(latency, maxLatency).Microseconds())
+}
+
+func (r *Report) fault(detail string) {
+	if detail == "" {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.faults++
+	if len(r.details) < maxFaults {
+		r.details = append(r.details, detail)
+	}
+}
+
+func ms(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
+
+func percent(n, of int) float64 { return 100 * float64(n) / float64(max(1, of)) }
+
+func sortedKeys(m map[string]int) []string {
+	keys := make([]string, 0, len(m))
+	for k := range m {
+		keys = append(keys, k)
+	}
+	sort.Strings(keys)
+	return keys
+}
