--- /dev/null
+++ b/standin/searchers/searcher_test.go
@@ -0,0 +1,194 @@
+package searchers
+
+import (
+	"bufio"
+	"encoding/json"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+func start(t *testing.T, cfg Config) *Searcher {
+	t.Helper()
+	cfg.Name, cfg.Shard = "one", "s00"
+	s, err := Start(cfg, NewCorpus(1, 200))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(s.Close)
+	return s
+}
+
+// exchange sends one request on its own client.
+func exchange(s *Searcher, c *http.Client, path, id, body string, headers ...string) (int, string, wireReply) {
+	req, _ := http.NewRequest(http.MethodPost, "http://"+s.Address()+path, strings.NewReader(body))
+	req.Header.Set("X-Request-Id", id)
+	for i := 0; i < len(headers); i += 2 {
+		req.Header.Set(headers[i], headers[i+1])
+	}
+	resp, err := c.Do(req)
+	if err != nil {
+		return 0, err.Error(), wireReply{}
+	}
+	defer resp.Body.Close()
+	var p wireReply
+	if resp.StatusCode == http.StatusOK {
+		if err := json.NewDecoder(resp.Body).Decode(&p); err != nil {
+			return 0, err.Error(), p
+		}
+	}
+	return resp.StatusCode, resp.Header.Get("X-Reason"), p
+}
+
+// hold starts n requests that last until their deadline is far away, and waits
+// until the searcher has received them.
+func hold(s *Searcher, n int) (wait func()) {
+	var wg sync.WaitGroup
+	for range n {
+		wg.Go(func() { exchange(s, &http.Client{Transport: &http.Transport{}}, "/v1/search", "held", "q") })
+	}
+	for s.Record().Received < n {
+		time.Sleep(time.Millisecond)
+	}
+	return wg.Wait
+}
+
+// Guards against refusals that a test would take for another kind.
+func TestRefusals(t *testing.T) {
+	s := start(t, Config{Slots: 1, Queue: 1, ServiceTime: time.Hour})
+	c := &http.Client{}
+	wait := hold(s, 2)
+	if status, reason, _ := exchange(s, c, "/v1/search", "a", "q"); status != 503 || reason != "shed" {
+		t.Errorf("third request: %d %q, want 503 shed", status, reason)
+	}
+	exchange(s, c, "/v1/cancel", "held", "")
+	wait()
+	if r := s.Record(); r.Cancelled != 2 || r.PeakInFlight != 2 {
+		t.Errorf("cancelled %d, peak %d, want 2 and 2", r.Cancelled, r.PeakInFlight)
+	}
+	if status, _, _ := exchange(s, c, "/v1/search", "b", "q", "X-Snapshot", "9"); status != 409 {
+		t.Errorf("unknown snapshot: %d, want 409", status)
+	}
+	if status, _, _ := exchange(s, c, "/v1/search", "b", "q", "X-Shard", "s01"); status != 421 {
+		t.Errorf("wrong shard: %d, want 421", status)
+	}
+	if status, _, _ := exchange(s, c, "/v1/search", "b", "q", "X-Deadline-Ms", "1"); status != 504 || s.Record().Expired != 1 {
+		t.Errorf("deadline of 1 ms: %d, want 504", status)
+	}
+	s.Drain(true)
+	if status, reason, _ := exchange(s, c, "/v1/search", "c", "q"); status != 503 || reason != "draining" || s.Record().AfterDrain != 1 {
+		t.Errorf("while draining: %d %q, want 503 draining", status, reason)
+	}
+}
+
+// Guards against a cold searcher that bears any load, which would hide a tier
+// that floods it, and against one that never becomes warm.
+func TestColdStart(t *testing.T) {
+	s := start(t, Config{StartCold: true, ColdLimit: 1, WarmAfter: 2, Slots: 4})
+	c := &http.Client{}
+	for range 2 {
+		if status, _, _ := exchange(s, c, "/v1/search", "a", "q"); status != 200 {
+			t.Fatalf("one request at a time: %d", status)
+		}
+	}
+	if s.cold || s.Record().PeakCold != 1 {
+		t.Errorf("cold %v, peak %d after 2 answers", s.cold, s.Record().PeakCold)
+	}
+	s.Chill()
+	s.admit(&call{})
+	s.admit(&call{})
+	if r := s.Record(); r.Collapses != 1 || r.PeakCold != 2 {
+		t.Errorf("%d collapses at %d in flight, want 1 at 2", r.Collapses, r.PeakCold)
+	}
+}
+
+// Guards against a connection cap that is not enforced.
+func TestConnectionCap(t *testing.T) {
+	s := start(t, Config{Connections: 2})
+	for i := range 3 {
+		c, err := net.Dial("tcp", s.Address())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		_, _ = c.Write([]byte("GET /v1/health HTTP/1.1\r\nHost: a\r\n\r\n"))
+		_, err = http.ReadResponse(bufio.NewReader(c), nil)
+		if accepted := err == nil; accepted != (i < 2) {
+			t.Errorf("connection %d: accepted %v", i+1, accepted)
+		}
+	}
+	if r := s.Record(); r.PeakConnections != 2 || r.RefusedConnections != 1 {
+		t.Errorf("peak %d, refused %d, want 2 and 1", r.PeakConnections, r.RefusedConnections)
+	}
+}
+
+// Guards against silence that also affects new connections.
+func TestSilentConnections(t *testing.T) {
+	s := start(t, Config{})
+	old := &http.Client{Timeout: 100 * time.Millisecond, Transport: &http.Transport{}}
+	if status, _, _ := exchange(s, old, "/v1/search", "a", "q"); status != 200 {
+		t.Fatal("no answer before the silence")
+	}
+	s.Silence()
+	if status, err, _ := exchange(s, old, "/v1/search", "b", "q"); status != 0 {
+		t.Errorf("the old connection answered %d %s", status, err)
+	}
+	if status, _, _ := exchange(s, &http.Client{Transport: &http.Transport{}}, "/v1/search", "c", "q"); status != 200 {
+		t.Errorf("a new connection answered %d", status)
+	}
+}
+
+// Guards against a crash that leaves connections open, keeps the boot text or
+// restarts warm, and against runs that are not counted.
+func TestCrashAndRuns(t *testing.T) {
+	s := start(t, Config{RestartTime: time.Nanosecond})
+	s.SetFaults(Faults{CrashMarker: "poison"})
+	c := &http.Client{}
+	status, _, p := exchange(s, c, "/v1/run", "once", "good")
+	if status != 200 || p.ID != "once" || p.Body == nil || p.Body.Ran != "good" || s.Record().Runs["once"] != 1 {
+		t.Fatalf("run: %d %+v, runs %v", status, p, s.Record().Runs)
+	}
+	if status, _, _ := exchange(s, c, "/v1/search", "bad", "poison"); status != 0 {
+		t.Errorf("the marked request got status %d", status)
+	}
+	if r := s.Record(); r.Crashes != 1 || s.boots != 2 || !s.cold {
+		t.Errorf("%d crashes, boot %d, cold %v", r.Crashes, s.boots, s.cold)
+	}
+}
+
+// Guards against damaged replies that are not damaged as asked for.
+func TestDamagedReplies(t *testing.T) {
+	s := start(t, Config{})
+	s.SetFaults(Faults{Truncate: 1})
+	if status, _, _ := exchange(s, &http.Client{}, "/v1/search", "a", "q"); status != 0 {
+		t.Error("a truncated reply was complete")
+	}
+	for _, field := range []string{"id", "shard", "snapshot", "map", "range"} {
+		s.SetFaults(Faults{})
+		_, _, good := exchange(s, &http.Client{}, "/v1/search", "a", "q")
+		s.SetFaults(Faults{Mislabel: 1, MislabelField: field})
+		_, _, bad := exchange(s, &http.Client{}, "/v1/search", "a", "q")
+		same := good.ID == bad.ID && good.Shard == bad.Shard && good.wireSnapshot == bad.wireSnapshot
+		if same {
+			t.Errorf("field %s is not wrong", field)
+		}
+	}
+	s.SetFaults(Faults{Duplicate: 1})
+	c, err := net.Dial("tcp", s.Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	_, _ = c.Write([]byte("POST /v1/search HTTP/1.1\r\nHost: a\r\nX-Request-Id: twice\r\nContent-Length: 1\r\n\r\nq"))
+	r := bufio.NewReader(c)
+	for i := range 2 {
+		resp, err := http.ReadResponse(r, nil)
+		var p wireReply
+		if err != nil || json.NewDecoder(resp.Body).Decode(&p) != nil || p.ID != "twice" {
+			t.Errorf("copy %d: %v %+v", i+1, err, p)
+		}
+	}
+}
