--- a/standin/searchers/faults.go
+++ b/standin/searchers/faults.go
@@ -7,6 +7,12 @@
 	// Errors is the ratio of errors with unknown outcome by route; the route
 	// "*" stands for all others.
 	Errors map[string]float64 `json:"errors"`
+	// ErrorsAfter is the number of requests that a searcher runs before Errors
+	// begin, and ErrorsAbove the number in flight up to which there are none.
+	ErrorsAfter int `json:"errors_after"`
+	ErrorsAbove int `json:"errors_above"`
+	// SlowRoutes multiplies the service times of single routes.
+	SlowRoutes map[string]float64 `json:"slow_routes"`
 	// Health replaces the state in health replies.
 	Health string `json:"health"`
 	// Down refuses all connections.
@@ -23,9 +29,19 @@
 	MislabelField string  `json:"mislabel_field"`
 }
 
-func (f Faults) errorRatio(route string) float64 {
+// errorRatio returns the ratio for a request on route, when ran others ran
+// since the faults are in force and inFlight requests are in flight.
+func (f Faults) errorRatio(route string, ran, inFlight int) float64 {
+	if ran < f.ErrorsAfter || inFlight <= f.ErrorsAbove {
+		return 0
+	}
 	if ratio, ok := f.Errors[route]; ok {
 		return ratio
 	}
 	return f.Errors["*"]
 }
+
+func (f Faults) slowdown(route string) float64 {
+	factor := or(f.Slowdown, 1)
+	return factor * or(f.SlowRoutes[route], 1)
+}
--- a/standin/searchers/searcher.go
+++ b/standin/searchers/searcher.go
@@ -22,6 +22,7 @@
 
 	mu        sync.Mutex
 	faults    Faults
+	ran       int // Requests run since the faults are in force.
 	boots     int
 	cold      bool
 	warmed    int           // Answers since the cold start.
@@ -85,7 +86,7 @@
 // SetFaults replaces the faults in force.
 func (s *Searcher) SetFaults(f Faults) {
 	s.mu.Lock()
-	s.faults = f
+	s.faults, s.ran = f, 0
 	s.mu.Unlock()
 	if f.Down {
 		s.abortConnections()
--- a/standin/searchers/searcher_test.go
+++ b/standin/searchers/searcher_test.go
@@ -192,3 +192,26 @@
 		}
 	}
 }
+
+// Guards against versions that fail at once where a test needs them to fail
+// late, under load or on one route.
+func TestErrorsOnConditions(t *testing.T) {
+	f := Faults{Errors: map[string]float64{"bad": 1}, ErrorsAfter: 2, ErrorsAbove: 1}
+	cases := []struct {
+		route         string
+		ran, inFlight int
+		want          float64
+	}{{"bad", 2, 2, 1}, {"bad", 1, 2, 0}, {"bad", 2, 1, 0}, {"good", 2, 2, 0}}
+	for _, tc := range cases {
+		if got := f.errorRatio(tc.route, tc.ran, tc.inFlight); got != tc.want {
+			t.Errorf("route %s after %d with %d in flight: ratio %g, want %g", tc.route, tc.ran, tc.inFlight, got, tc.want)
+		}
+	}
+	s := start(t, Config{})
+	s.SetFaults(Faults{Errors: map[string]float64{"*": 1}, ErrorsAfter: 1})
+	for i, want := range []int{200, 500} {
+		if status, _, _ := exchange(s, &http.Client{}, "/v1/search", "a", "q"); status != want {
+			t.Errorf("request %d: %d, want %d", i+1, status, want)
+		}
+	}
+}
--- a/standin/searchers/work.go
+++ b/standin/searchers/work.go
@@ -108,6 +108,8 @@
 	s.mu.Lock()
 	f := s.faults
 	boots := s.boots
+	ratio := f.errorRatio(k.route, s.ran, s.inFlight)
+	s.ran++
 	if k.run {
 		s.record.Runs[k.id]++
 	}
@@ -116,11 +118,11 @@
 		s.Crash()
 		return outcome{broken: true}
 	}
-	if err := clock.Sleep(k.ctx, s.clock, s.serviceTime(f)); err != nil {
+	if err := clock.Sleep(k.ctx, s.clock, s.serviceTime(f.slowdown(k.route))); err != nil {
 		s.count(k.cause())
 		return outcome{status: http.StatusGatewayTimeout}
 	}
-	failed := s.chance(f.errorRatio(k.route))
+	failed := s.chance(ratio)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.boots != boots || s.downLocked() {
@@ -138,14 +140,11 @@
 	return answered
 }
 
-func (s *Searcher) serviceTime(f Faults) time.Duration {
+func (s *Searcher) serviceTime(factor float64) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	// The mean of exp(sigma*N - sigma^2/2) is 1.
-	d := float64(s.cfg.ServiceTime) * math.Exp(sigma*s.rng.NormFloat64()-sigma*sigma/2)
-	if f.Slowdown > 0 {
-		d *= f.Slowdown
-	}
+	d := factor * float64(s.cfg.ServiceTime) * math.Exp(sigma*s.rng.NormFloat64()-sigma*sigma/2)
 	if s.cold {
 		d *= coldSlowdown
 	}
