store: count the polls of a watch; vmlist: no proxy from the environment

A watch that waits for long is several calls to the store, which Counted cannot see. The default transport obeys HTTP_PROXY, which must not divert the list.

--- a/store/http.go
+++ b/store/http.go
@@ -12,6 +12,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"medlaryard.example/medlaryard/meter"
 )
 
 const (
@@ -82,6 +84,8 @@
 func (h *HTTP) Watch(ctx context.Context, key string, seen uint64) (Object, error) {
 	q := url.Values{"seen": {strconv.FormatUint(seen, 10)}, "wait_ms": {strconv.FormatInt(h.wait.Milliseconds(), 10)}}
 	for {
+		// The store counts each poll of a watch as a call.
+		meter.Count("store.watch.polls", 1)
 		poll, cancel := context.WithTimeout(ctx, h.wait+h.timeout)
 		o, err := h.object(poll, http.MethodGet, h.objectURL(key)+"?"+q.Encode(), nil)
 		cancel()
--- a/vmlist/reader.go
+++ b/vmlist/reader.go
@@ -58,8 +58,10 @@
 // "http://10.0.0.1:7001". It polls after Start.
 func NewReader(base string, opts ...Option) *Reader {
 	r := &Reader{
-		url:      base + "/v1/vms",
-		client:   &http.Client{Timeout: defaultTimeout},
+		url: base + "/v1/vms",
+		// A transport of its own, because the default one obeys the proxy
+		// settings of the environment.
+		client:   &http.Client{Timeout: defaultTimeout, Transport: &http.Transport{}},
 		clock:    clock.System{},
 		interval: defaultInterval,
 		done:     make(chan struct{}),
