--- a/standin/cmd/load/main.go
+++ b/standin/cmd/load/main.go
@@ -26,7 +26,7 @@
 	Service     string        `required:"" help:"Service that receives the queries."`
 	Route       string        `default:"match" help:"Route within the service."`
 	Deadline    time.Duration `default:"2s" help:"Deadline of each request."`
-	Limit       int           `default:"10" help:"Highest number of hits."`
+	Limit       int           `default:"10" help:"Highest number of hits, at most 100."`
 	Seed        uint64        `default:"1" help:"Determines bodies and resends."`
 	Queries     int           `default:"100" help:"Number of different queries."`
 	Estate      string        `type:"existingfile" help:"YAML file of the searchers, to compare answers with the reference."`
--- a/standin/searchers/config.go
+++ b/standin/searchers/config.go
@@ -56,7 +56,7 @@
 	// collapseTime is how long a collapsed searcher answers nothing.
 	collapseTime = time.Second
 	// defaultLimit is the number of hits without X-Limit.
-	defaultLimit = 10
+	defaultLimit = 100
 	// sigma is the spread of lognormal service times; 0.5 puts the 0.99
 	// quantile at about 2.8 times the mean.
 	sigma = 0.5
