--- /dev/null
+++ b/catalogue/evaluate/evaluator.go
@@ -0,0 +1,59 @@
+package evaluate
+
+import (
+	"medlaryard.example/medlaryard/catalogue"
+	"medlaryard.example/medlaryard/catalogue/syntax"
+)
+
+// evaluator holds what the documents read so far declare, and where.
+type evaluator struct {
+	problems  *syntax.Problems
+	spec      catalogue.EstateSpec
+	domains   names
+	owners    names
+	services  names
+	addresses names
+	refs      []reference
+	searchers int
+}
+
+func newEvaluator(ps *syntax.Problems) *evaluator {
+	return &evaluator{
+		problems:  ps,
+		domains:   newNames("failure domain", ps),
+		owners:    newNames("owner", ps),
+		services:  newNames("service", ps),
+		addresses: newNames("searcher address", ps),
+	}
+}
+
+// document reads one YAML document.
+func (e *evaluator) document(n *syntax.Node) {
+	m := syntax.ReadMapping(n, e.problems)
+	root := e.root(m)
+	for _, n := range m.List("domains") {
+		e.domain(n, root)
+	}
+	for _, n := range m.List("owners") {
+		e.owner(n, root)
+	}
+	for _, n := range m.List("services") {
+		e.service(n, root)
+	}
+	m.Close()
+}
+
+// root reads the owner, class and limits that entries of the document inherit.
+func (e *evaluator) root(m *syntax.Mapping) catalogue.EntrySpec {
+	var root catalogue.EntrySpec
+	if n := m.Get("owner"); n != nil {
+		root.Owner = e.ownerName(n)
+	}
+	if n := m.Get("class"); n != nil {
+		root.Class = e.class(n)
+	}
+	if n := m.Get("limits"); n != nil {
+		root.Limits = e.limits(n)
+	}
+	return root
+}
--- /dev/null
+++ b/catalogue/evaluate/text.go
@@ -0,0 +1,43 @@
+package evaluate
+
+import (
+	"medlaryard.example/medlaryard/catalogue"
+	"medlaryard.example/medlaryard/catalogue/load"
+	"medlaryard.example/medlaryard/catalogue/syntax"
+)
+
+// Text checks one text, whose YAML documents together declare the estate, and
+// returns the estate at the given generation. Name stands in positions. The
+// error is a *syntax.Problems.
+func Text(name string, text []byte, generation uint64) (catalogue.Estate, error) {
+	return Sources([]load.Source{load.Text(name, text)}, generation)
+}
+
+// Sources is Text for an estate that is declared by several files.
+func Sources(sources []load.Source, generation uint64) (catalogue.Estate, error) {
+	ps := &syntax.Problems{}
+	var docs []*syntax.Node
+	for _, s := range sources {
+		parsed, err := syntax.Parse(s.Name(), s.Text())
+		if err != nil {
+			for _, p := range err.(*syntax.Problems).List() {
+				ps.Add(p)
+			}
+		}
+		docs = append(docs, parsed...)
+	}
+	// References cannot be judged while a part of the text is unreadable.
+	if err := ps.Err(); err != nil {
+		return catalogue.Estate{}, err
+	}
+	e := newEvaluator(ps)
+	for _, doc := range docs {
+		e.document(doc)
+	}
+	spec := e.build(sources)
+	if err := ps.Err(); err != nil {
+		return catalogue.Estate{}, err
+	}
+	spec.Generation = generation
+	return catalogue.NewEstate(spec), nil
+}
--- /dev/null
+++ b/catalogue/syntax/entry.go
@@ -0,0 +1,17 @@
+package syntax
+
+// Entry is one key of a mapping with its value.
+type Entry struct {
+	key      string
+	position Position
+	value    *Node
+}
+
+// Key is the key's text.
+func (e Entry) Key() string { return e.key }
+
+// Position is where the key stands.
+func (e Entry) Position() Position { return e.position }
+
+// Value is the value under the key.
+func (e Entry) Value() *Node { return e.value }
--- /dev/null
+++ b/catalogue/syntax/problems.go
@@ -0,0 +1,52 @@
+package syntax
+
+import (
+	"sort"
+	"strings"
+)
+
+// Problems collects the faults of one input.
+type Problems struct {
+	list []Problem
+}
+
+// Add records p.
+func (ps *Problems) Add(p Problem) { ps.list = append(ps.list, p) }
+
+// AddAt records that the value at n should have been something else.
+func (ps *Problems) AddAt(n *Node, expected, found string) {
+	ps.Add(NewProblem(n.Position(), n.Path(), expected, found))
+}
+
+// List returns the faults in order of file, line and column.
+func (ps *Problems) List() []Problem {
+	sorted := append([]Problem(nil), ps.list...)
+	sort.SliceStable(sorted, func(i, j int) bool {
+		a, b := sorted[i].position, sorted[j].position
+		if a.file != b.file {
+			return a.file < b.file
+		}
+		if a.line != b.line {
+			return a.line < b.line
+		}
+		return a.column < b.column
+	})
+	return sorted
+}
+
+// Err returns ps as an error, or nil when nothing was recorded.
+func (ps *Problems) Err() error {
+	if len(ps.list) == 0 {
+		return nil
+	}
+	return ps
+}
+
+// Error returns one line for each fault.
+func (ps *Problems) Error() string {
+	var lines []string
+	for _, p := range ps.List() {
+		lines = append(lines, p.Error())
+	}
+	return strings.Join(lines, "\n")
+}
--- /dev/null
+++ b/catalogue/syntax/tokens.go
@@ -0,0 +1,57 @@
+package syntax
+
+import (
+	"fmt"
+
+	"github.com/goccy/go-yaml/token"
+)
+
+// maxDepth bounds nesting so that a hostile text cannot exhaust the parser's
+// stack. The deepest value of a catalogue stands at level 9.
+const maxDepth = 32
+
+// checkTokens refuses what the tree cannot represent, before the parser recurses into it.
+func checkTokens(name string, tokens token.Tokens, ps *Problems) bool {
+	ok := true
+	flow, inline, line := 0, 0, 0
+	for _, tk := range tokens {
+		at := NewPosition(name, tk.Position.Line, tk.Position.Column)
+		if what := refusedToken(tk.Type); what != "" {
+			ps.Add(NewProblem(at, "", "plain mappings, lists and scalars", what))
+			ok = false
+		}
+		if tk.Position.Line != line {
+			inline, line = 0, tk.Position.Line
+		}
+		switch tk.Type {
+		case token.SequenceStartType, token.MappingStartType:
+			flow++
+		case token.SequenceEndType, token.MappingEndType:
+			flow--
+		case token.SequenceEntryType, token.MappingKeyType, token.MappingValueType:
+			inline++
+		}
+		if flow > maxDepth || (flow == 0 && inline > maxDepth) {
+			ps.Add(NewProblem(at, "", fmt.Sprintf("at most %d levels of nesting", maxDepth), "more"))
+			return false
+		}
+	}
+	return ok
+}
+
+func refusedToken(t token.Type) string {
+	switch t {
+	case token.AnchorType:
+		return "an anchor"
+	case token.AliasType:
+		return "an alias"
+	case token.TagType:
+		return "a tag"
+	case token.MergeKeyType:
+		return "a merge key"
+	case token.DirectiveType:
+		return "a directive"
+	default:
+		return ""
+	}
+}
