--- /dev/null
+++ b/catalogue/diff/doc.go
@@ -0,0 +1,2 @@
+// Package diff states in readable lines how two estates differ.
+package diff
