publish: conditional update of catalogue/current

A lost reply to a conditional update cannot be told from a refused one, so the same update is repeated and, after a conflict, the object is read back and its token compared. A rapid property runs changes against a store that loses requests, replies and races with another operator.

--- a/catalogue/evaluate/text.go
+++ b/catalogue/evaluate/text.go
@@ -17,18 +17,16 @@
 func Sources(sources []load.Source, generation uint64) (catalogue.Estate, error) {
 	ps := &syntax.Problems{}
 	var docs []*syntax.Node
+	readable := true
 	for _, s := range sources {
 		parsed, err := syntax.Parse(s.Name(), s.Text())
-		if err != nil {
-			for _, p := range err.(*syntax.Problems).List() {
-				ps.Add(p)
-			}
-		}
+		ps.Merge(err)
+		readable = readable && (err == nil || parsed != nil)
 		docs = append(docs, parsed...)
 	}
 	// References cannot be judged while a part of the text is unreadable.
-	if err := ps.Err(); err != nil {
-		return catalogue.Estate{}, err
+	if !readable {
+		return catalogue.Estate{}, ps.Err()
 	}
 	e := newEvaluator(ps)
 	for _, doc := range docs {
--- /dev/null
+++ b/catalogue/publish/publisher_test.go
@@ -0,0 +1,176 @@
+package publish_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"medlaryard.example/medlaryard/catalogue/publish"
+	"medlaryard.example/medlaryard/clock/clocktest"
+	"medlaryard.example/medlaryard/store"
+)
+
+// fakeStore keeps one object and fails calls on request.
+type fakeStore struct {
+	store.Store
+	mu      sync.Mutex
+	version uint64
+	value   []byte
+	tokens  []string
+	// fail decides on each call: "" serves it, "before" fails it without
+	// effect, "after" fails it after its effect, "other" serves a write after
+	// another operator's.
+	fail func(call string) string
+}
+
+func (s *fakeStore) Get(context.Context, string) (store.Object, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.fail("get") != "" {
+		return store.Object{}, store.ErrUnavailable
+	}
+	if s.version == 0 {
+		return store.Object{}, store.ErrNotFound
+	}
+	return store.NewObject(publish.Key, s.version, s.value), nil
+}
+
+func (s *fakeStore) Put(_ context.Context, _ string, value []byte, expected uint64) (store.Object, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	fate := s.fail("put")
+	switch fate {
+	case "before":
+		return store.Object{}, store.ErrUnavailable
+	case "other":
+		s.writeOther()
+	}
+	if expected != s.version {
+		if fate == "after" {
+			return store.Object{}, store.ErrUnavailable
+		}
+		return store.Object{}, store.ErrConflict
+	}
+	c, err := publish.Decode(value)
+	if err != nil {
+		return store.Object{}, err
+	}
+	s.version, s.value, s.tokens = s.version+1, value, append(s.tokens, c.Token())
+	if fate == "after" {
+		return store.Object{}, store.ErrUnavailable
+	}
+	return store.NewObject(publish.Key, s.version, value), nil
+}
+
+func (s *fakeStore) writeOther() {
+	s.version++
+	token := fmt.Sprintf("other-%d", s.version)
+	c := publish.NewCurrent(publish.CurrentSpec{Generation: s.version, Token: token, Text: token, Author: "other"})
+	s.value, _ = c.Encode()
+	s.tokens = append(s.tokens, token)
+}
+
+// Guards against a lost reply that is reported as a failure or applied twice,
+// against a race that overwrites another change, and against a success or race
+// report that contradicts the store.
+func TestApplyReportsWhatHappened(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		fate := rapid.SampledFrom([]string{"", "", "", "before", "after", "other"})
+		s := &fakeStore{}
+		s.fail = func(call string) string {
+			f := fate.Draw(t, call)
+			if call == "get" && f == "other" {
+				return ""
+			}
+			return f
+		}
+		for i := range rapid.IntRange(1, 8).Draw(t, "changes") {
+			token := fmt.Sprintf("token-%d.", i)
+			p := publish.New(s, publish.WithClock(clocktest.New()), publish.WithPause(0),
+				publish.WithToken(func() string { return token }))
+			based := uint64(rapid.IntRange(0, len(s.tokens)).Draw(t, "based"))
+			got, err := p.Apply(context.Background(), text(i), "operator", based)
+			written := strings.Count(strings.Join(s.tokens, " "), token)
+			var race *publish.Race
+			var unknown *publish.Unknown
+			switch {
+			case err == nil:
+				if written != 1 || got.Generation() != based+1 || got.Token() != token {
+					t.Fatalf("success with %d writes, generation %d after %d", written, got.Generation(), based)
+				}
+			case errors.As(err, &race):
+				if written != 0 || race.Now().Generation() == based {
+					t.Fatalf("race with %d writes, generation %d in force, based on %d", written, race.Now().Generation(), based)
+				}
+			case errors.As(err, &unknown):
+				if unknown.Token() != token || written > 1 {
+					t.Fatalf("unknown with %d writes", written)
+				}
+			case errors.Is(err, store.ErrUnavailable):
+				if written != 0 {
+					t.Fatalf("store error after %d writes", written)
+				}
+			default:
+				t.Fatal(err)
+			}
+			if written > 1 {
+				t.Fatalf("one change was written %d times", written)
+			}
+		}
+	})
+}
+
+// Guards against an operator's change that overwrites one that came between
+// reading and writing, and against a report that does not name the other operator.
+func TestApplyLosesRaceToConcurrentChange(t *testing.T) {
+	s := &fakeStore{fail: func(string) string { return "" }}
+	p := publish.New(s, publish.WithClock(clocktest.New()))
+	if _, err := p.Apply(context.Background(), text(1), "Baraka", 0); err != nil {
+		t.Fatal(err)
+	}
+	s.fail = func(call string) string {
+		if call == "put" {
+			return "other"
+		}
+		return ""
+	}
+	now, err := p.Apply(context.Background(), text(2), "Baraka", 1)
+	var race *publish.Race
+	if !errors.As(err, &race) || now.Generation() != 2 || !strings.Contains(err.Error(), `"other" has applied generation 2`) {
+		t.Fatalf("got generation %d, error %v", now.Generation(), err)
+	}
+}
+
+// Guards against a faulty catalogue or a needless generation reaching the store.
+func TestApplyWritesOnlyValidChanges(t *testing.T) {
+	s := &fakeStore{fail: func(string) string { return "" }}
+	p := publish.New(s, publish.WithClock(clocktest.New()))
+	if _, err := p.Apply(context.Background(), []byte("owner: 5"), "operator", 0); err == nil || s.version != 0 {
+		t.Fatalf("faulty text: error %v, version %d", err, s.version)
+	}
+	for range 2 {
+		c, err := p.Apply(context.Background(), text(1), "operator", s.version)
+		if err != nil || c.Generation() != 1 || s.version != 1 {
+			t.Fatalf("error %v, generation %d, version %d", err, c.Generation(), s.version)
+		}
+	}
+}
+
+func text(i int) []byte {
+	return fmt.Appendf(nil, `
+owner: o
+class: batch
+limits: {rate: %d, concurrency: 1}
+domains: [{name: d, region: r}]
+owners: [{name: o, classes: {batch: {rate: 1, concurrency: 1}}}]
+services:
+  - name: s
+    searcher: {domain: d, version: v, slots: 1, connections: 10}
+    shards: [{name: "a", searchers: [{name: x, address: "127.0.0.1:1"}]}]
+`, i+1)
+}
--- a/catalogue/syntax/parse.go
+++ b/catalogue/syntax/parse.go
@@ -15,8 +15,9 @@
 // and JSON escaping of the text must fit in the rest.
 const MaxText = 900_000
 
-// Parse returns one Node for each YAML document in text that is not empty. The
-// error is a *Problems. Name stands in positions.
+// Parse returns one Node for each YAML document in text that is not empty. Name
+// stands in positions. The error is a *Problems; with a fault of single keys,
+// such as a duplicate, the rest of the tree is returned as well.
 func Parse(name string, text []byte) ([]*Node, error) {
 	ps := &Problems{}
 	if !checkText(name, text, ps) {
--- a/catalogue/syntax/problems.go
+++ b/catalogue/syntax/problems.go
@@ -1,6 +1,7 @@
 package syntax
 
 import (
+	"errors"
 	"sort"
 	"strings"
 )
@@ -18,6 +19,16 @@
 	ps.Add(NewProblem(n.Position(), n.Path(), expected, found))
 }
 
+// Merge records the faults of err, which a function of this module returned.
+func (ps *Problems) Merge(err error) {
+	var other *Problems
+	if errors.As(err, &other) {
+		ps.list = append(ps.list, other.list...)
+	} else if err != nil {
+		ps.Add(NewProblem(Position{}, "", "readable text", err.Error()))
+	}
+}
+
 // List returns the faults in order of file, line and column.
 func (ps *Problems) List() []Problem {
 	sorted := append([]Problem(nil), ps.list...)
