--- a/catalogue/evaluate/entry.go
+++ b/catalogue/evaluate/entry.go
@@ -24,21 +24,24 @@
 		spec.Owner = e.ownerName(n)
 	} else if enclosing.Owner == "" {
 		m.Require("owner", "the name of the owner, here or in an enclosing entry")
+		spec.Owner = faulty
 	}
 	if n := m.Get("class"); n != nil {
 		spec.Class = e.class(n)
 	} else if enclosing.Class == "" {
 		m.Require("class", classType.Expected()+", here or in an enclosing entry")
+		spec.Class = faulty
 	}
 	if n := m.Get("limits"); n != nil {
 		spec.Limits = e.limits(n)
 	} else if enclosing.Limits == (catalogue.Limits{}) {
 		m.Require("limits", "rate and concurrency, here or in an enclosing entry")
+		spec.Limits = unbounded(catalogue.LimitsSpec{})
 	}
 	return spec
 }
 
-// faulty replaces an unreadable value that entries inherit, so that its fault
+// faulty replaces an unreadable or missing value that entries inherit, so that its fault
 // is reported once instead of once for each of those entries.
 const faulty = "(faulty)"
 
@@ -66,7 +69,11 @@
 		Rate:        syntax.Required(m, "rate", rateType),
 		Concurrency: syntax.Required(m, "concurrency", concurrencyType),
 	}
-	// An unreadable bound bounds nothing, so that no comparison with it fails too.
+	return unbounded(spec)
+}
+
+// unbounded replaces an unreadable bound by one that no comparison fails with.
+func unbounded(spec catalogue.LimitsSpec) catalogue.Limits {
 	if spec.Rate == 0 {
 		spec.Rate = math.Inf(1)
 	}
@@ -112,7 +119,7 @@
 			continue
 		}
 		l := e.limits(c)
-		if l.Rate() > owner.Limits.Rate() || l.Concurrency() > owner.Limits.Concurrency() {
+		if exceeds(l, owner.Limits) {
 			e.problems.AddAt(c, fmt.Sprintf("limits within the owner's rate %v and concurrency %d", owner.Limits.Rate(), owner.Limits.Concurrency()),
 				fmt.Sprintf("rate %v and concurrency %d", l.Rate(), l.Concurrency()))
 		}
@@ -122,3 +129,9 @@
 		e.problems.AddAt(n, "at least one class", "none")
 	}
 }
+
+// exceeds compares readable bounds only.
+func exceeds(l, bound catalogue.Limits) bool {
+	return (!math.IsInf(l.Rate(), 1) && l.Rate() > bound.Rate()) ||
+		(l.Concurrency() != math.MaxInt && l.Concurrency() > bound.Concurrency())
+}
--- a/catalogue/evaluate/moves.go
+++ b/catalogue/evaluate/moves.go
@@ -79,10 +79,13 @@
 	first := ""
 	for _, sh := range service.Shards {
 		for _, s := range sh.Searchers() {
+			if s.Version() == "" || s.Version() == faulty {
+				continue
+			}
 			if first == "" {
 				first = s.Version()
 			}
-			if s.Version() == first || s.Version() == "" || joined(moves, first, s.Version()) {
+			if s.Version() == first || joined(moves, first, s.Version()) {
 				continue
 			}
 			e.problems.AddAt(m.Node(), fmt.Sprintf("a move between versions %q and %q", first, s.Version()), fmt.Sprintf("searcher %s without one", s.Address()))
--- a/catalogue/evaluate/searcher.go
+++ b/catalogue/evaluate/searcher.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 
 	"medlaryard.example/medlaryard/catalogue"
 	"medlaryard.example/medlaryard/catalogue/syntax"
@@ -21,16 +22,32 @@
 func (e *evaluator) values(m *syntax.Mapping, enclosing searcherValues) searcherValues {
 	v := enclosing
 	if n := m.Get("domain"); n != nil {
-		v.Domain, _ = syntax.Name.Value(n, e.problems)
-		e.refer(n, &e.domains, v.Domain)
+		v.Domain = faulty
+		if name, ok := syntax.Name.Value(n, e.problems); ok {
+			v.Domain = name
+			e.refer(n, &e.domains, name)
+		}
 	}
-	v.Version = syntax.Optional(m, "version", syntax.Name, v.Version)
-	v.Slots = syntax.Optional(m, "slots", slotsType, v.Slots)
-	v.Connections = syntax.Optional(m, "connections", connectionsType, v.Connections)
-	v.ColdLimit = syntax.Optional(m, "cold_limit", coldLimitType, v.ColdLimit)
+	v.Version = override(m, "version", syntax.Name, v.Version, faulty)
+	v.Slots = override(m, "slots", slotsType, v.Slots, 1)
+	v.Connections = override(m, "connections", connectionsType, v.Connections, math.MaxInt32)
+	v.ColdLimit = override(m, "cold_limit", coldLimitType, v.ColdLimit, 1)
 	return v
 }
 
+// override reads the value under key, or returns the inherited one when the key
+// is absent and instead when its value is faulty.
+func override[T any](m *syntax.Mapping, key string, t syntax.Type[T], inherited, instead T) T {
+	n := m.Get(key)
+	if n == nil {
+		return inherited
+	}
+	if v, ok := t.Value(n, m.Problems()); ok {
+		return v
+	}
+	return instead
+}
+
 // complete records each value that no enclosing entry set, and values that do not fit together.
 func (e *evaluator) complete(m *syntax.Mapping, v searcherValues) {
 	if v.Domain == "" {
--- a/catalogue/syntax/convert.go
+++ b/catalogue/syntax/convert.go
@@ -38,21 +38,21 @@
 			out.items = append(out.items, c.node(item, itemPath(path, i), out.position))
 		}
 	case *ast.MappingNode:
-		c.mapping(out, v.Values)
+		c.mapping(out, v.Values, v.IsFlowStyle)
 	case *ast.MappingValueNode:
-		c.mapping(out, []*ast.MappingValueNode{v})
+		c.mapping(out, []*ast.MappingValueNode{v}, false)
 	default:
 		c.problems.AddAt(out, "a mapping, list or scalar", fmt.Sprintf("a YAML %s", n.Type()))
 	}
 	return out
 }
 
-func (c converter) mapping(out *Node, values []*ast.MappingValueNode) {
+func (c converter) mapping(out *Node, values []*ast.MappingValueNode, flow bool) {
 	out.kind = Map
 	seen := make(map[string]Position, len(values))
 	for i, v := range values {
 		at := c.position(v.Key, out.position)
-		if i == 0 && !v.IsFlowStyle {
+		if i == 0 && !flow {
 			out.position = at
 		}
 		key, ok := c.key(v.Key, at, out.path)
