--- /dev/null
+++ b/catalogue/evaluate/bench_test.go
@@ -0,0 +1,41 @@
+package evaluate_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"medlaryard.example/medlaryard/catalogue/evaluate"
+)
+
+// BenchmarkText measures a whole check. Every daemon does one for each of the
+// 5,600 changes a day; 65,000 searchers is the size planned for.
+func BenchmarkText(b *testing.B) {
+	for _, searchers := range []int{200, 2_000, 20_000, 65_000} {
+		text := estateText(searchers)
+		b.Run(fmt.Sprintf("searchers=%d", searchers), func(b *testing.B) {
+			b.SetBytes(int64(len(text)))
+			b.ReportAllocs()
+			for b.Loop() {
+				if _, err := evaluate.Text("bench", text, 1); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
+
+// estateText declares services of 100 shards with two searchers each, in the
+// compact form with one address range for each run of 100 addresses.
+func estateText(searchers int) []byte {
+	var out strings.Builder
+	out.WriteString("owner: o\nclass: batch\nlimits: {rate: 10, concurrency: 5}\n" +
+		"domains: [{name: a, region: r}, {name: b, region: r}]\n" +
+		"owners: [{name: o, classes: {batch: {rate: 10, concurrency: 5}}}]\nservices:\n")
+	for i := range searchers / 200 {
+		row := func(n int) string { return fmt.Sprintf("10.%d.%d.[100-199]:9000", n/200, n%200) }
+		fmt.Fprintf(&out, "  - name: s%d\n    searcher: {version: v1, slots: 2, connections: 25}\n    shards:\n      count: 100\n      replicas:\n"+
+			"        - {domain: a, addresses: [%q]}\n        - {domain: b, addresses: [%q]}\n", i, row(2*i), row(2*i+1))
+	}
+	return []byte(out.String())
+}
