settings, reference: daemon settings from one table; generated pages

Every setting has default, unit and range in one table, from which the decoder and docs/settings.md are made, so that the page cannot differ from the program. docs/errors.md comes from the table in package refusal. Leases and heartbeats are no settings: daemons with different values could hold one lease at the same time.

--- a/catalogue/syntax/node.go
+++ b/catalogue/syntax/node.go
@@ -63,3 +63,6 @@
 func itemPath(parent string, i int) string {
 	return parent + "[" + strconv.Itoa(i) + "]"
 }
+
+// NewMap returns a mapping without keys, for a section that the text leaves out.
+func NewMap(at Position, path string) *Node { return &Node{kind: Map, position: at, path: path} }
--- /dev/null
+++ b/reference/errors.go
@@ -0,0 +1,90 @@
+package reference
+
+import (
+	"fmt"
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"strconv"
+	"strings"
+
+	"github.com/rotisserie/eris"
+
+	"medlaryard.example/medlaryard/refusal"
+)
+
+const errorsHead = `# Errors
+
+<!-- Generated from the table in package refusal. Change it there and run: go test ./reference -update -->
+
+A request that gets no answer gets a refusal: the HTTP status of this table and the JSON body ` + "`{\"id\",\"kind\",\"ran\",\"retry\",\"detail\"}`" + `. The list of kinds is closed.
+
+` + "`ran`" + ` states whether the request ran on a searcher. The table gives what the kind alone proves; a refusal can state more where more is known. "no" is a promise: the request did not run and will not run.
+
+` + "`retry`" + ` is advice for sending the request again:
+
+- ` + "`never`" + `: the same request is refused again.
+- ` + "`later`" + `: after a pause, at any address.
+- ` + "`else`" + `: at once, at another address.
+- ` + "`address`" + `: after asking for addresses again.
+- ` + "`confirm`" + `: only after the caller has found out whether it ran. An idempotent request can be sent again at once.
+
+| Kind | Status | Ran | Retry | Meaning |
+|---|---|---|---|---|
+`
+
+// Errors returns docs/errors.md. The meanings are the doc comments in
+// kindSource, the source file refusal/kind.go.
+func Errors(kindSource []byte) (string, error) {
+	meanings, err := kindComments(kindSource)
+	if err != nil {
+		return "", err
+	}
+	var out strings.Builder
+	out.WriteString(errorsHead)
+	for _, a := range refusal.Table() {
+		meaning := meanings[a.Kind()]
+		if meaning == "" {
+			return "", eris.Errorf("kind %q has no doc comment", a.Kind())
+		}
+		fmt.Fprintf(&out, "| `%s` | %d | %s | `%s` | %s |\n", a.Kind(), a.Status(), a.Ran(), a.Retry(), meaning)
+	}
+	return out.String(), nil
+}
+
+// kindComments maps each kind to its doc comment without the leading name.
+func kindComments(source []byte) (map[refusal.Kind]string, error) {
+	file, err := parser.ParseFile(token.NewFileSet(), "kind.go", source, parser.ParseComments)
+	if err != nil {
+		return nil, eris.Wrap(err, "parse the list of kinds")
+	}
+	meanings := make(map[refusal.Kind]string)
+	ast.Inspect(file, func(n ast.Node) bool {
+		spec, ok := n.(*ast.ValueSpec)
+		if !ok || len(spec.Values) != 1 {
+			return true
+		}
+		lit, ok := spec.Values[0].(*ast.BasicLit)
+		if !ok {
+			return true
+		}
+		kind, err := strconv.Unquote(lit.Value)
+		if err == nil {
+			meanings[refusal.Kind(kind)] = sentence(spec.Names[0].Name, spec.Doc.Text())
+		}
+		return true
+	})
+	return meanings, nil
+}
+
+// sentence turns "Name is a thing." or "Name means that it is." into a cell of the table.
+func sentence(name, doc string) string {
+	text := strings.Join(strings.Fields(strings.TrimPrefix(doc, name)), " ")
+	for _, verb := range []string{"is ", "means that "} {
+		text = strings.TrimPrefix(text, verb)
+	}
+	if text == "" {
+		return ""
+	}
+	return strings.ToUpper(text[:1]) + text[1:]
+}
--- /dev/null
+++ b/reference/settings.go
@@ -0,0 +1,43 @@
+package reference
+
+import (
+	"fmt"
+	"strings"
+
+	"medlaryard.example/medlaryard/settings"
+)
+
+const settingsHead = `# Settings
+
+<!-- Generated from the table in package settings. Change it there and run: go test ./reference -update -->
+
+Settings are the YAML file of one daemon, given to ` + "`medlaryard serve`" + `. A setting with a dot stands in a section:
+
+` + "```yaml" + `
+name: entry-1
+region: ke-central
+domain: ke-central-1
+caller: {listen: "10.0.0.1:8080"}
+peer: {listen: "10.0.0.1:8081"}
+operator: {listen: "10.0.0.1:8082"}
+store: {address: "10.0.0.9:7000"}
+peers: ["10.0.0.2:8081", "10.0.0.3:8081"]
+` + "```" + `
+
+Unknown, repeated and wrongly typed settings are errors with file, line, column, path and what was expected; the daemon does not start. Changed settings take effect at the next start. A duration is written with its unit, such as ` + "`250ms`" + ` or ` + "`1m30s`" + `.
+
+Times on which all daemons of a cell must agree, such as heartbeats and leases, are constants of the program and not settings, because daemons with different values could hold one lease at the same time.
+
+| Setting | Default | Unit | Accepted | Meaning |
+|---|---|---|---|---|
+`
+
+// Settings returns docs/settings.md.
+func Settings() string {
+	var out strings.Builder
+	out.WriteString(settingsHead)
+	for _, s := range settings.Table() {
+		fmt.Fprintf(&out, "| `%s` | %s | %s | %s | %s |\n", s.Path(), s.Default(), s.Unit(), s.Expected(), s.Help())
+	}
+	return out.String()
+}
--- /dev/null
+++ b/settings/loglevel.go
@@ -0,0 +1,12 @@
+package settings
+
+// LogLevel is the lowest level of log lines that a daemon writes.
+type LogLevel string
+
+// The log levels, most lines first.
+const (
+	Debug LogLevel = "debug"
+	Info  LogLevel = "info"
+	Warn  LogLevel = "warn"
+	Error LogLevel = "error"
+)
--- /dev/null
+++ b/settings/settings.go
@@ -0,0 +1,95 @@
+package settings
+
+import "time"
+
+// Settings are the settings of one daemon. Values are immutable.
+type Settings struct {
+	spec Spec
+}
+
+// New returns the immutable Settings that spec describes.
+func New(spec Spec) Settings { return Settings{spec: spec} }
+
+// Name is the name of the daemon's VM in the VM list.
+func (s Settings) Name() string { return s.spec.Name }
+
+// Region names the region of the daemon.
+func (s Settings) Region() string { return s.spec.Region }
+
+// Domain names the failure domain of the daemon.
+func (s Settings) Domain() string { return s.spec.Domain }
+
+// Cell names the cell that the daemon belongs to.
+func (s Settings) Cell() string { return s.spec.Cell }
+
+// CallerListen is the address of the callers' listener.
+func (s Settings) CallerListen() string { return s.spec.CallerListen }
+
+// CallerAdvertise is the address that callers connect to.
+func (s Settings) CallerAdvertise() string { return s.spec.CallerAdvertise }
+
+// PeerListen is the address of the peers' listener.
+func (s Settings) PeerListen() string { return s.spec.PeerListen }
+
+// PeerAdvertise is the address that other daemons connect to.
+func (s Settings) PeerAdvertise() string { return s.spec.PeerAdvertise }
+
+// OperatorListen is the address of the operators' listener.
+func (s Settings) OperatorListen() string { return s.spec.OperatorListen }
+
+// StoreAddress is the address of the object store.
+func (s Settings) StoreAddress() string { return s.spec.StoreAddress }
+
+// StoreTimeout bounds one call to the store.
+func (s Settings) StoreTimeout() time.Duration { return s.spec.StoreTimeout }
+
+// StoreWatchWait is the time after which a pending watch is renewed.
+func (s Settings) StoreWatchWait() time.Duration { return s.spec.StoreWatchWait }
+
+// VMListAddress is the address of the VM list; empty uses none.
+func (s Settings) VMListAddress() string { return s.spec.VMListAddress }
+
+// VMListInterval is the pause between two readings of the VM list.
+func (s Settings) VMListInterval() time.Duration { return s.spec.VMListInterval }
+
+// Peers are advertised peer addresses to start from.
+func (s Settings) Peers() []string { return s.spec.Peers }
+
+// PeerKeyFile is the path of the key that all daemons share; empty uses none.
+func (s Settings) PeerKeyFile() string { return s.spec.PeerKeyFile }
+
+// PeerKey is the content of PeerKeyFile.
+func (s Settings) PeerKey() string { return s.spec.PeerKey }
+
+// PeerConnections bounds the connections to one other daemon.
+func (s Settings) PeerConnections() int { return s.spec.PeerConnections }
+
+// PeerMessageBytes bounds one message between daemons.
+func (s Settings) PeerMessageBytes() int { return s.spec.PeerMessageBytes }
+
+// OperatorKeyFile is the path of the key that operators send; empty uses none.
+func (s Settings) OperatorKeyFile() string { return s.spec.OperatorKeyFile }
+
+// OperatorKey is the content of OperatorKeyFile.
+func (s Settings) OperatorKey() string { return s.spec.OperatorKey }
+
+// AddressTTL is how long callers keep an address answer.
+func (s Settings) AddressTTL() time.Duration { return s.spec.AddressTTL }
+
+// ShutdownLimit ends a graceful shutdown that has not finished.
+func (s Settings) ShutdownLimit() time.Duration { return s.spec.ShutdownLimit }
+
+// OnceWindow is how long outcomes of non-idempotent requests are kept.
+func (s Settings) OnceWindow() time.Duration { return s.spec.OnceWindow }
+
+// OnceRecords bounds the table of outcomes.
+func (s Settings) OnceRecords() int { return s.spec.OnceRecords }
+
+// OnceBytes bounds the bodies in the table of outcomes.
+func (s Settings) OnceBytes() int { return s.spec.OnceBytes }
+
+// SearcherReplyBytes bounds one reply of a searcher.
+func (s Settings) SearcherReplyBytes() int { return s.spec.SearcherReplyBytes }
+
+// LogLevel is the lowest level that is logged.
+func (s Settings) LogLevel() LogLevel { return s.spec.LogLevel }
