--- /dev/null
+++ b/command/cli.go
@@ -0,0 +1,73 @@
+package command
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/alecthomas/kong"
+)
+
+// cli is the command line.
+type cli struct {
+	Serve     serveCommand     `cmd:"" help:"Run the daemon until SIGTERM or SIGINT, then shut down gracefully. A second signal exits at once."`
+	Check     checkCommand     `cmd:"" help:"Check catalogue files, and show how they differ from what is in force."`
+	Apply     applyCommand     `cmd:"" help:"Put a catalogue in force."`
+	Status    statusCommand    `cmd:"" help:"Show the status of daemons."`
+	Addresses addressesCommand `cmd:"" help:"Show the addresses that callers are told to use."`
+	Query     queryCommand     `cmd:"" help:"Send one request as a caller."`
+	Version   versionCommand   `cmd:"" help:"Show the version of this binary."`
+}
+
+// Main runs the subcommand that args name and returns its exit code.
+func Main(ctx context.Context, args []string, env *Env) Code {
+	// Kong reports the end after --help through this function, which must not return.
+	type exited int
+	code := OK
+	func() {
+		defer func() {
+			if r := recover(); r != nil {
+				e, ok := r.(exited)
+				if !ok {
+					panic(r)
+				}
+				code = Code(e)
+			}
+		}()
+		code = run(ctx, args, env, func(c int) { panic(exited(c)) })
+	}()
+	return code
+}
+
+func run(ctx context.Context, args []string, env *Env, exit func(int)) Code {
+	env.ctx = ctx
+	parser, err := kong.New(
+		&cli{},
+		kong.Name("medlaryard"),
+		kong.Description("Query tier between callers and sharded search back ends.\n\n"+codes),
+		kong.Writers(env.Stdout, env.Stderr),
+		kong.Exit(exit),
+		kong.ConfigureHelp(kong.HelpOptions{Compact: true}),
+	)
+	if err != nil {
+		return env.report(err)
+	}
+	k, err := parser.Parse(args)
+	if err != nil {
+		return env.report(&fault{code: Usage, err: err})
+	}
+	return env.report(k.Run(env))
+}
+
+// report prints err and returns its exit code. Faults of input are printed as
+// they are, one to a line, so that editors recognise the positions.
+func (env *Env) report(err error) Code {
+	code := codeOf(err)
+	switch code {
+	case OK:
+	case Faulty:
+		fmt.Fprintln(env.Stderr, err)
+	default:
+		fmt.Fprintf(env.Stderr, "medlaryard: %v\n", err)
+	}
+	return code
+}
--- /dev/null
+++ b/command/command_test.go
@@ -0,0 +1,143 @@
+package command_test
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"medlaryard.example/medlaryard/clock/clocktest"
+	"medlaryard.example/medlaryard/command"
+	"medlaryard.example/medlaryard/settings"
+	"medlaryard.example/medlaryard/store"
+)
+
+const small = "../examples/small.yaml"
+
+// oneObject is a store of one object; down makes every call fail.
+type oneObject struct {
+	store.Store
+	version uint64
+	value   []byte
+	down    bool
+}
+
+func (s *oneObject) Get(context.Context, string) (store.Object, error) {
+	switch {
+	case s.down:
+		return store.Object{}, store.ErrUnavailable
+	case s.version == 0:
+		return store.Object{}, store.ErrNotFound
+	}
+	return store.NewObject("catalogue/current", s.version, s.value), nil
+}
+
+func (s *oneObject) Put(_ context.Context, key string, value []byte, expected uint64) (store.Object, error) {
+	if expected != s.version {
+		return store.Object{}, store.ErrConflict
+	}
+	s.version, s.value = s.version+1, value
+	return store.NewObject(key, s.version, value), nil
+}
+
+// result is what one run of the binary shows to a shell.
+type result struct {
+	code        command.Code
+	out, stderr string
+}
+
+func run(s store.Store, stdin string, args ...string) result {
+	var out, stderr bytes.Buffer
+	env := &command.Env{
+		Stdin: strings.NewReader(stdin), Stdout: &out, Stderr: &stderr, Clock: clocktest.New(),
+		OpenStore: func(string) store.Store { return s },
+		Serve:     func(context.Context, settings.Settings) error { return nil },
+	}
+	code := command.Main(context.Background(), args, env)
+	return result{code, out.String(), stderr.String()}
+}
+
+func (r result) want(t *testing.T, code command.Code, out, stderr string) {
+	t.Helper()
+	if r.code != code || !strings.Contains(r.out, out) || !strings.Contains(r.stderr, stderr) {
+		t.Errorf("want code %d, output with %q, standard error with %q; got code %d\n%s\n%s", code, out, stderr, r.code, r.out, r.stderr)
+	}
+}
+
+// Guards against exit codes that differ from the help text.
+func TestUsage(t *testing.T) {
+	run(nil, "", "--help").want(t, command.OK, "Exit codes: 0 success", "")
+	run(nil, "", "chek").want(t, command.Usage, "", `did you mean "check"`)
+	run(nil, "", "status", "--operator=127.0.0.1:1", "--interval=1ms").want(t, command.Usage, "", "at least 100ms")
+	run(nil, "", "query", "x", "--caller=127.0.0.1:1", "--service=s", "--owner=o", "--ticket=a/1").want(t, command.Usage, "", "needs --run")
+	run(nil, "", "version").want(t, command.OK, "medlaryard ", "")
+	run(nil, "", "check", "none.yaml").want(t, command.Failed, "", "none.yaml")
+	run(nil, "owner: 5", "check", "-").want(t, command.Faulty, "", "stdin:1:8: owner: expected a name")
+}
+
+// Guards against a check that hides what would change, or that reports success
+// when it could not compare.
+func TestCheckShowsDifference(t *testing.T) {
+	s := &oneObject{}
+	run(s, "", "check", small).want(t, command.OK, "valid: 2 failure domains", "")
+	run(s, "", "check", small, "--store=x").want(t, command.OK, "in force: nothing\n+ failure domain domain-a", "")
+	run(s, "", "apply", small, "--store=x", "--author=Achieng").want(t, command.OK, "applied: generation 1\n", "")
+	text, err := os.ReadFile(small)
+	if err != nil {
+		t.Fatal(err)
+	}
+	changed := strings.Replace(string(text), "{name: domain-b, region: local}", "{name: domain-b, region: local, in_service: false}", 1)
+	run(s, changed, "check", "-", "--store=x").want(t, command.OK, "in force: generation 1 by Achieng, applied 2026-01-01T00:00:00Z\n~ failure domain domain-b: in_service true -> false\n", "")
+	s.down = true
+	run(s, changed, "check", "-", "--store=x").want(t, command.Failed, "valid:", "what is in force cannot be read")
+}
+
+// Guards against an apply that repeats or overwrites a change.
+func TestApply(t *testing.T) {
+	s := &oneObject{}
+	run(s, "", "apply", small, "--store=x", "--based=1").want(t, command.Raced, "", "no catalogue is in force")
+	run(s, "", "apply", small, "--store=x").want(t, command.OK, "applied: generation 1\n", "")
+	run(s, "", "apply", small, "--store=x").want(t, command.OK, "no difference\nunchanged: generation 1\n", "")
+	run(s, "", "apply", "../examples/tamasha.yaml", "--store=x", "--based=0").want(t, command.Raced, "", "nothing was changed")
+	run(s, "", "apply", "../examples/tamasha.yaml", "../examples/haneul.yaml", "--store=x", "--based=1").want(t, command.OK, "applied: generation 2\n", "")
+	run(s, "", "check", "../examples/tamasha.yaml", "../examples/haneul.yaml", "--store=x").want(t, command.OK, "in force: generation 2", "")
+	run(s, "a: [", "apply", "-", "--store=x").want(t, command.Faulty, "", "stdin:")
+	if s.version != 2 {
+		t.Errorf("the store saw %d writes, want 2", s.version)
+	}
+}
+
+// Guards against settings that serve accepts although they are faulty.
+func TestServeChecksSettings(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "settings.yaml")
+	if err := os.WriteFile(file, []byte("name: n\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	run(nil, "", "serve", file).want(t, command.Faulty, "", file+":1:1: region: expected a name")
+}
+
+// Guards against a status that loses fields of a newer daemon, that hides
+// daemons behind one that does not answer, or that drops the key.
+func TestStatus(t *testing.T) {
+	d := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get("Authorization") != "Bearer 0123456789abcdef" {
+			w.WriteHeader(http.StatusUnauthorized)
+			return
+		}
+		_, _ = io.WriteString(w, `{"name": "entry-1", "unknown": {"z": 1, "a": [2]}}`)
+	}))
+	defer d.Close()
+	key := filepath.Join(t.TempDir(), "key")
+	if err := os.WriteFile(key, []byte("0123456789abcdef\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	address := strings.TrimPrefix(d.URL, "http://")
+	run(nil, "", "status", "--operator="+address, "--key-file="+key, "--output=json").want(t, command.OK, `{"name":"entry-1","unknown":{"z":1,"a":[2]}}`+"\n", "")
+	run(nil, "", "status", "--operator=127.0.0.1:1,"+address, "--key-file="+key).want(t, command.Failed, "name: entry-1\nunknown:\n  z: 1\n", "daemon at 127.0.0.1:1")
+	run(nil, "", "status", "--operator="+address).want(t, command.Failed, "", "answers 401")
+}
--- /dev/null
+++ b/command/query.go
@@ -0,0 +1,134 @@
+package command
+
+import (
+	"crypto/rand"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	mathrand "math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"medlaryard.example/medlaryard/catalogue/load"
+)
+
+// answerMargin is added to the deadline for the answer's way back.
+const answerMargin = 2 * time.Second
+
+// maxBody is the longest body that the command reads, in bytes.
+const maxBody = 1 << 20
+
+type queryCommand struct {
+	Body     string        `arg:"" help:"Body of the request: JSON, or text that is sent as a JSON string; - reads standard input."`
+	Caller   []string      `required:"" placeholder:"IP:PORT" env:"MEDLARYARD_CALLER" help:"Callers' addresses of some daemons, repeated or separated by commas. The request goes to an address that they name."`
+	Service  string        `required:"" help:"Service to ask."`
+	Owner    string        `required:"" env:"MEDLARYARD_OWNER" help:"Owner that the request is accounted to."`
+	Class    string        `enum:"interactive,batch" default:"interactive" help:"Service class: interactive or batch."`
+	Route    string        `default:"search" help:"Route within the service."`
+	Deadline time.Duration `default:"1s" help:"Time in which the answer is useful, from 1ms."`
+	Limit    int           `default:"10" help:"Highest number of hits."`
+	ID       string        `help:"Identifier of the request. The default is random."`
+	Once     bool          `name:"run" help:"Send a non-idempotent request, which runs at most once."`
+	Ticket   string        `placeholder:"INCARNATION/MS" help:"Ticket of an earlier --run with the same --id, to learn its outcome without a second run."`
+	Partial  bool          `name:"allow-partial" help:"Exit with 0 when the answer is partial."`
+	Output   output        `enum:"text,json" default:"text" help:"Form of the output: text with score, shard, identifier and data of a hit on each line, or json."`
+}
+
+// Help adds to the help text.
+func (*queryCommand) Help() string {
+	return "Hits or the outcome go to standard output; snapshot, coverage and what is missing go to standard error. A request whose outcome is not known is reported with the flags that ask again."
+}
+
+// Validate checks the bounds of the flags.
+func (c *queryCommand) Validate() error {
+	if c.Deadline < time.Millisecond {
+		return errors.New("--deadline: at least 1ms")
+	}
+	if c.Ticket != "" && (!c.Once || c.ID == "") {
+		return errors.New("--ticket: needs --run and the --id of the earlier request")
+	}
+	return nil
+}
+
+// Run sends the request.
+func (c *queryCommand) Run(env *Env) error {
+	body, err := c.body(env)
+	if err != nil {
+		return err
+	}
+	if c.ID == "" {
+		c.ID = rand.Text()
+	}
+	answer, _, err := askAddresses(env.ctx, c.Caller)
+	if err != nil {
+		return err
+	}
+	if len(answer.Addresses) == 0 {
+		return eris.New("the daemon names no addresses")
+	}
+	req := queryRequest{
+		ID: c.ID, Owner: c.Owner, Class: c.Class, Service: c.Service, Route: c.Route,
+		DeadlineMS: c.Deadline.Milliseconds(), Body: body,
+	}
+	to := answer.Addresses[mathrand.IntN(len(answer.Addresses))]
+	if c.Once {
+		return c.runOnce(env, req, to, answer)
+	}
+	req.Limit = c.Limit
+	r, err := client{address: to.Address, timeout: c.Deadline + answerMargin}.post(env.ctx, "/v1/query", req)
+	if err != nil {
+		return err
+	}
+	if r.status != http.StatusOK {
+		return refused(r)
+	}
+	return c.printAnswer(env, r.body)
+}
+
+// body returns the body as JSON.
+func (c *queryCommand) body(env *Env) (json.RawMessage, error) {
+	body := []byte(c.Body)
+	if c.Body == load.Stdin {
+		var err error
+		if body, err = io.ReadAll(io.LimitReader(env.Stdin, maxBody+1)); err != nil {
+			return nil, eris.Wrap(err, "read body")
+		}
+	}
+	if len(body) > maxBody {
+		return nil, eris.Errorf("the body is longer than %d bytes", maxBody)
+	}
+	if json.Valid(body) {
+		return body, nil
+	}
+	text, err := json.Marshal(string(body))
+	return text, eris.Wrap(err, "encode body")
+}
+
+func (c *queryCommand) printAnswer(env *Env, body []byte) error {
+	var answer queryReply
+	if err := json.Unmarshal(body, &answer); err != nil {
+		return eris.Wrap(err, "decode answer")
+	}
+	if c.Output == outputJSON {
+		if err := printJSON(env.Stdout, body); err != nil {
+			return err
+		}
+	} else {
+		for _, h := range answer.Hits {
+			fmt.Fprintf(env.Stdout, "%g\t%s\t%s\t%s\n", h.Score, h.Shard, h.ID, h.Data)
+		}
+		fmt.Fprintf(env.Stderr, "snapshot %d, coverage %.2f%% (%d of %d documents)\n",
+			answer.Snapshot, 100*answer.Coverage.Fraction, answer.Coverage.Documents, answer.Coverage.Total)
+		for _, m := range answer.Missing {
+			fmt.Fprintf(env.Stderr, "missing: shard %s: %s\n", m.Shard, m.Reason)
+		}
+	}
+	complete := len(answer.Missing) == 0 && answer.Coverage.Documents == answer.Coverage.Total
+	if complete || c.Partial {
+		return nil
+	}
+	return &fault{code: Partial, err: eris.Errorf("partial answer: %d of %d documents", answer.Coverage.Documents, answer.Coverage.Total)}
+}
--- /dev/null
+++ b/command/query_test.go
@@ -0,0 +1,132 @@
+package command_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+
+	"medlaryard.example/medlaryard/command"
+)
+
+// daemon answers addresses with its own, and requests with a fixed reply.
+type daemon struct {
+	*httptest.Server
+	incarnation string
+	status      int
+	reply       string
+
+	mu   sync.Mutex // The handler may still run when the client has seen its connection break.
+	cut  bool
+	last map[string]any
+}
+
+func (d *daemon) setCut(cut bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.cut = cut
+}
+
+// received returns the last request with its path.
+func (d *daemon) received() map[string]any {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.last
+}
+
+func newDaemon(t *testing.T) *daemon {
+	d := &daemon{incarnation: "i1", status: http.StatusOK}
+	d.Server = httptest.NewServer(d)
+	t.Cleanup(d.Close)
+	return d
+}
+
+func (d *daemon) address() string { return strings.TrimPrefix(d.URL, "http://") }
+
+func (d *daemon) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == "/v1/addresses" {
+		fmt.Fprintf(w, `{"addresses":[{"address":%q,"incarnation":%q,"domain":"d"}],"keep_ms":5000,"issued_ms":17}`, d.address(), d.incarnation)
+		return
+	}
+	body, _ := io.ReadAll(r.Body)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.last = map[string]any{"path": r.URL.Path}
+	_ = json.Unmarshal(body, &d.last)
+	if d.cut {
+		panic(http.ErrAbortHandler)
+	}
+	w.WriteHeader(d.status)
+	_, _ = io.WriteString(w, d.reply)
+}
+
+func (d *daemon) query(args ...string) result {
+	return run(nil, "", append([]string{"query", "--caller=" + d.address(), "--service=s", "--owner=o"}, args...)...)
+}
+
+// Guards against a partial or refused answer that a script takes for a complete one.
+func TestQuery(t *testing.T) {
+	const partial = `{"id":"q","snapshot":4,"coverage":{"documents":9,"total":10,"fraction":0.9},"hits":[{"id":"h","score":1.5,"shard":"00","data":{"t":"x"}}],"missing":[{"shard":"01","reason":"deadline"}],"new":1}`
+	tests := []struct {
+		name        string
+		status      int
+		reply       string
+		args        []string
+		code        command.Code
+		out, stderr string
+	}{
+		{
+			"complete", 200, strings.NewReplacer(`:9,`, `:10,`, `0.9`, `1`, `{"shard":"01","reason":"deadline"}`, ``).Replace(partial), nil,
+			command.OK, "1.5\t00\th\t{\"t\":\"x\"}\n", "snapshot 4, coverage 100.00% (10 of 10 documents)\n",
+		},
+		{"partial", 200, partial, nil, command.Partial, "1.5\t00\th\t", "missing: shard 01: deadline\n"},
+		{"partial allowed", 200, partial, []string{"--allow-partial"}, command.OK, "1.5\t00\th\t", "coverage 90.00%"},
+		{"partial as json", 200, partial, []string{"--output=json"}, command.Partial, `"new":1`, "partial answer: 9 of 10 documents"},
+		{"refused", 429, `{"kind":"rate_limited","ran":"no","retry":"later","detail":"over 5/s"}`, nil, command.Refused, "", "refused: rate_limited (ran: no, retry: later): over 5/s"},
+		{"fate unknown", 504, `{"kind":"deadline","ran":"unknown","retry":"confirm"}`, nil, command.OutcomeUnknown, "", "refused: deadline"},
+		{"not a daemon", 404, `not found`, nil, command.OutcomeUnknown, "", "answers 404: not found"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			d := newDaemon(t)
+			d.status, d.reply = tt.status, tt.reply
+			d.query(append(tt.args, "--deadline=250ms", "--limit=3", "na kupenda")...).want(t, tt.code, tt.out, tt.stderr)
+			if got := d.received(); got["path"] != "/v1/query" || got["body"] != "na kupenda" || got["deadline_ms"] != 250.0 || got["limit"] != 3.0 || got["ticket"] != nil {
+				t.Errorf("the daemon received %v", got)
+			}
+		})
+	}
+}
+
+// Guards against a non-idempotent request that goes to another incarnation than
+// its ticket names, and against an unknown outcome that looks like a refusal or
+// leaves the caller without a way to learn it.
+func TestQueryRun(t *testing.T) {
+	d := newDaemon(t)
+	d.reply = `{"id":"r","outcome":"ok","body":{"queued":1}}`
+	d.query("--run", "--id=r", `{"song": 1}`).want(t, command.OK, "{\"queued\":1}\n", "request r: ok\n")
+	got := d.received()
+	ticket, _ := got["ticket"].(map[string]any)
+	if got["path"] != "/v1/run" || got["id"] != "r" || ticket["incarnation"] != "i1" || ticket["issued_ms"] != 17.0 {
+		t.Errorf("the daemon received %v", got)
+	}
+	d.setCut(true)
+	d.query("--run", "--id=r", "x").want(t, command.OutcomeUnknown, "", "repeat the command with --id r --ticket i1/17")
+	d.setCut(false)
+	d.query("--run", "--id=r", "--ticket=i0/9", "x").want(t, command.OK, "", "")
+	if ticket, _ := d.received()["ticket"].(map[string]any); ticket["incarnation"] != "i0" || ticket["issued_ms"] != 9.0 {
+		t.Errorf("the resend carried ticket %v", ticket)
+	}
+	d.query("--run", "--id=r", "--ticket=i0", "x").want(t, command.Usage, "", "expected INCARNATION/MS")
+}
+
+// Guards against addresses in a form that a script cannot read.
+func TestAddresses(t *testing.T) {
+	d := newDaemon(t)
+	run(nil, "", "addresses", "--caller=127.0.0.1:1,"+d.address()).want(t, command.OK, d.address()+" d i1\n", "valid for 5s\n")
+	run(nil, "", "addresses", "--caller=127.0.0.1:1").want(t, command.Failed, "", "127.0.0.1:1")
+}
--- /dev/null
+++ b/command/queryrequest.go
@@ -0,0 +1,16 @@
+package command
+
+import "encoding/json"
+
+// queryRequest is the body of a query, and with a ticket that of a run.
+type queryRequest struct {
+	ID         string          `json:"id"`
+	Owner      string          `json:"owner"`
+	Class      string          `json:"class"`
+	Service    string          `json:"service"`
+	Route      string          `json:"route"`
+	DeadlineMS int64           `json:"deadline_ms"`
+	Limit      int             `json:"limit,omitempty"`
+	Ticket     *ticket         `json:"ticket,omitempty"`
+	Body       json.RawMessage `json:"body"`
+}
--- /dev/null
+++ b/command/status.go
@@ -0,0 +1,83 @@
+package command
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"medlaryard.example/medlaryard/clock"
+)
+
+type statusCommand struct {
+	Operator []string      `required:"" placeholder:"IP:PORT" env:"MEDLARYARD_OPERATOR" help:"Operators' addresses of the daemons, repeated or separated by commas."`
+	KeyFile  string        `type:"existingfile" help:"File with the operators' key, if the daemons require one."`
+	Watch    bool          `help:"Show the status again after each interval, until interrupted."`
+	Interval time.Duration `default:"2s" help:"Pause between two readings with --watch, from 100ms."`
+	Timeout  time.Duration `default:"5s" help:"Longest wait for one daemon."`
+	Output   output        `enum:"text,json" default:"text" help:"Form of the output: text, or json with one line for each reading of a daemon."`
+}
+
+// Help adds to the help text.
+func (*statusCommand) Help() string {
+	return "The status is shown for each daemon in turn. The exit code is 1 if any daemon did not answer; with --watch such readings are reported on standard error and the next ones follow."
+}
+
+// Validate checks the bounds of the flags.
+func (c *statusCommand) Validate() error {
+	if c.Interval < 100*time.Millisecond {
+		return errors.New("--interval: at least 100ms")
+	}
+	return nil
+}
+
+// Run shows the status of each daemon.
+func (c *statusCommand) Run(env *Env) error {
+	key, err := readKey(c.KeyFile)
+	if err != nil {
+		return err
+	}
+	for {
+		err := c.round(env, key)
+		if !c.Watch {
+			return err
+		}
+		if err != nil {
+			fmt.Fprintf(env.Stderr, "medlaryard: %v\n", err)
+		}
+		if clock.Sleep(env.ctx, env.Clock, c.Interval) != nil {
+			return nil
+		}
+	}
+}
+
+// round reads each daemon once; one that does not answer does not hide the others.
+func (c *statusCommand) round(env *Env, key string) error {
+	var failed []error
+	for _, address := range c.Operator {
+		r, err := client{address: address, key: key, timeout: c.Timeout}.get(env.ctx, "/v1/status")
+		if err == nil && r.status != http.StatusOK {
+			err = eris.Errorf("daemon at %s answers %d: %.200s", address, r.status, r.body)
+		}
+		if err == nil {
+			err = c.print(env, address, r.body)
+		}
+		if err != nil {
+			failed = append(failed, err)
+		}
+	}
+	return errors.Join(failed...)
+}
+
+func (c *statusCommand) print(env *Env, address string, body []byte) error {
+	if c.Output == outputJSON {
+		return printJSON(env.Stdout, body)
+	}
+	at := env.Clock.Now().UTC().Format(time.RFC3339)
+	if _, err := fmt.Fprintf(env.Stdout, "--- %s at %s\n", address, at); err != nil {
+		return err
+	}
+	return printTree(env.Stdout, body)
+}
--- /dev/null
+++ b/command/ticket.go
@@ -0,0 +1,27 @@
+package command
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+
+	"github.com/rotisserie/eris"
+)
+
+// ticket names the daemon incarnation that a non-idempotent request belongs to.
+type ticket struct {
+	Incarnation string `json:"incarnation"`
+	IssuedMS    int64  `json:"issued_ms"`
+}
+
+// String returns the form that parseTicket reads.
+func (t ticket) String() string { return fmt.Sprintf("%s/%d", t.Incarnation, t.IssuedMS) }
+
+func parseTicket(s string) (ticket, error) {
+	incarnation, ms, found := strings.Cut(s, "/")
+	issued, err := strconv.ParseInt(ms, 10, 64)
+	if !found || incarnation == "" || err != nil {
+		return ticket{}, &fault{code: Usage, err: eris.Errorf("--ticket: expected INCARNATION/MS, found %q", s)}
+	}
+	return ticket{Incarnation: incarnation, IssuedMS: issued}, nil
+}
