publish: bound the author

Daemons refuse a catalogue object with an author of more than 256 bytes, so apply would have reported success for a change that never takes effect.

--- a/catalogue/publish/publisher.go
+++ b/catalogue/publish/publisher.go
@@ -4,7 +4,10 @@
 	"context"
 	"crypto/rand"
 	"errors"
+	"strings"
 	"time"
+	"unicode"
+	"unicode/utf8"
 
 	"github.com/rotisserie/eris"
 
@@ -13,8 +16,12 @@
 	"medlaryard.example/medlaryard/store"
 )
 
-// maxValue is the largest object that the store accepts, in bytes.
-const maxValue = 1_000_000
+const (
+	// maxValue is the largest object that the store accepts, in bytes.
+	maxValue = 1_000_000
+	// maxAuthor is the longest author in bytes; daemons refuse objects with a longer one.
+	maxAuthor = 256
+)
 
 // Publisher reads and changes the catalogue object.
 type Publisher struct {
@@ -72,6 +79,9 @@
 	if _, err := evaluate.Text("catalogue", text, based+1); err != nil {
 		return Current{}, err
 	}
+	if len(author) > maxAuthor || !utf8.ValidString(author) || strings.ContainsFunc(author, unicode.IsControl) {
+		return Current{}, eris.Errorf("author %.40q: expected at most %d bytes of UTF-8 without control characters", author, maxAuthor)
+	}
 	now, version, err := p.read(ctx)
 	if err != nil {
 		return Current{}, err
--- a/catalogue/publish/publisher_test.go
+++ b/catalogue/publish/publisher_test.go
@@ -153,6 +153,9 @@
 	if _, err := p.Apply(context.Background(), []byte("owner: 5"), "operator", 0); err == nil || s.version != 0 {
 		t.Fatalf("faulty text: error %v, version %d", err, s.version)
 	}
+	if _, err := p.Apply(context.Background(), text(1), strings.Repeat("x", 257), 0); err == nil || s.version != 0 {
+		t.Fatalf("long author: error %v, version %d", err, s.version)
+	}
 	for range 2 {
 		c, err := p.Apply(context.Background(), text(1), "operator", s.version)
 		if err != nil || c.Generation() != 1 || s.version != 1 {
