--- /dev/null
+++ b/home/budget.go
@@ -0,0 +1,79 @@
+package home
+
+import (
+	"sync"
+
+	"medlaryard.example/medlaryard/invariant"
+)
+
+// extraBudget is the invariant that hedges and retries stay within their share.
+const extraBudget invariant.Name = "home.extra_budget"
+
+const (
+	// initialTokens lets the first requests of a quiet service be retried.
+	initialTokens = 2
+	// maxTokens bounds the burst of extra requests after a calm period.
+	maxTokens = 32
+)
+
+// budget is a token bucket filled by sub-requests and emptied by hedges and
+// retries. It is safe for concurrent use.
+type budget struct {
+	mu     sync.Mutex
+	ratio  float64
+	tokens float64
+	earned float64 // All tokens ever earned.
+	spent  int64
+	subs   int64
+}
+
+func newBudget(ratio float64) *budget {
+	return &budget{ratio: ratio, tokens: initialTokens, earned: initialTokens}
+}
+
+func (b *budget) setRatio(ratio float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.ratio = ratio
+	if ratio <= 0 {
+		b.tokens = 0
+	}
+}
+
+// earn counts one sub-request.
+func (b *budget) earn() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.subs++
+	b.earned += b.ratio
+	b.tokens = min(b.tokens+b.ratio, maxTokens)
+}
+
+// take reports whether one extra request may be sent, and counts it.
+func (b *budget) take() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.tokens < 1 {
+		return false
+	}
+	b.tokens--
+	b.spent++
+	// Rounding of the many small additions stays far below 1e-6.
+	invariant.Check(extraBudget, float64(b.spent) <= b.earned+1e-6, "%d extra of %g allowed", b.spent, b.earned)
+	return true
+}
+
+// refund returns the token of an extra request that was not sent.
+func (b *budget) refund() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.tokens++
+	b.spent--
+}
+
+// counts returns the sub-requests and the extra requests so far.
+func (b *budget) counts() (subs, extra int64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.subs, b.spent
+}
--- /dev/null
+++ b/home/pick.go
@@ -0,0 +1,115 @@
+package home
+
+import (
+	"time"
+
+	"medlaryard.example/medlaryard/refusal"
+)
+
+// room is the number of further requests that a searcher may receive now.
+func (g *group) room(m *member, now time.Duration) int {
+	if m.warmth.restUntil > now {
+		return 0
+	}
+	return m.limit(g.share) - m.inflight
+}
+
+// fits reports whether a searcher may ever run the task in its present state.
+func (g *group) fits(t *task, m *member) bool {
+	if !m.usable() || !m.holds(t.req.Snapshot()) || (t.warmOnly && !m.warmth.warm) {
+		return false
+	}
+	c := g.credit(m)
+	return c == nil || c.allowed()
+}
+
+// credit returns the credit that a send to the searcher needs; nil for none.
+func (g *group) credit(m *member) *credit {
+	for _, c := range g.credits {
+		if c.covers(m) {
+			return c
+		}
+	}
+	return nil
+}
+
+// pick returns the searcher for the task's next send, or nil when the task has
+// to wait for a better one than is free now.
+func (g *group) pick(t *task, now time.Duration) *member {
+	if m := g.best(t, now, g.due); m != nil {
+		return m
+	}
+	if m := g.best(t, now, func(m *member) bool { return !t.hasTried(m) }); m != nil {
+		return m
+	}
+	return g.best(t, now, func(*member) bool { return true })
+}
+
+// due reports whether the searcher runs a new version whose share is due, and
+// has room for it.
+func (g *group) due(m *member) bool {
+	c := g.credit(m)
+	return c != nil && m.inflight+m.virtual < m.limit(g.share)
+}
+
+// best returns the searcher with the lowest cost among those that fit and are
+// accepted.
+func (g *group) best(t *task, now time.Duration, accept func(*member) bool) *member {
+	var best *member
+	var lowest float64
+	for i := range g.members {
+		m := g.members[(g.turn+i)%len(g.members)]
+		if !accept(m) || !g.fits(t, m) || m.limit(g.share) == 0 || m.warmth.restUntil > now {
+			continue
+		}
+		if cost := g.cost(m); best == nil || cost < lowest {
+			best, lowest = m, cost
+		}
+	}
+	return best
+}
+
+// cost orders searchers. Baseline compares the queues alone.
+func (g *group) cost(m *member) float64 {
+	return float64(m.inflight + m.virtual)
+}
+
+// hopeless returns the reason why waiting cannot help the task; nil when a
+// searcher may serve it later.
+func (g *group) hopeless(t *task) *refusal.Error {
+	var usable, holding, permitted, warm bool
+	for _, m := range g.members {
+		if !m.usable() {
+			continue
+		}
+		usable = true
+		if m.claimed == "" {
+			return nil // The first health answer will tell.
+		}
+		if !m.holds(t.req.Snapshot()) {
+			continue
+		}
+		holding = true
+		if c := g.credit(m); c != nil && !c.allowed() {
+			continue
+		}
+		permitted = true
+		if t.warmOnly && !m.warmth.warm {
+			continue
+		}
+		if m.limit(g.share) > 0 {
+			warm = true
+		}
+	}
+	switch {
+	case !usable:
+		return refusal.New(refusal.NoSearcher, "no searcher of group %s is usable", g.id)
+	case !holding:
+		return refusal.New(refusal.SnapshotGone, "group %s does not hold snapshot %d", g.id, t.req.Snapshot())
+	case !permitted:
+		return refusal.New(refusal.NoSearcher, "group %s has only versions whose share is used up", g.id)
+	case !warm:
+		return refusal.New(refusal.Cold, "the searchers of group %s are in a cold start, share %s", g.id, g.share)
+	}
+	return nil
+}
--- /dev/null
+++ b/home/service.go
@@ -0,0 +1,62 @@
+package home
+
+import (
+	"sync"
+
+	"medlaryard.example/medlaryard/catalogue"
+)
+
+// service is what the groups of one service share.
+type service struct {
+	name   string
+	budget *budget
+	sketch *sketch
+	ledger *ledger
+	mu     sync.Mutex
+	spec   *catalogue.Service
+	shares map[string]float64 // By move; a move without a share has none yet.
+}
+
+func newService(spec *catalogue.Service) *service {
+	return &service{
+		name:   spec.Name(),
+		budget: newBudget(spec.ExtraBudget()),
+		sketch: newSketch(spec.HedgeQuantile()),
+		ledger: newLedger(),
+		spec:   spec,
+		shares: make(map[string]float64),
+	}
+}
+
+// update installs the catalogue's present description of the service.
+func (s *service) update(spec *catalogue.Service) {
+	s.budget.setRatio(spec.ExtraBudget())
+	s.sketch.setQuantile(spec.HedgeQuantile())
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.spec = spec
+}
+
+// setShare sets the share of a move, between 0 and 1.
+func (s *service) setShare(move string, share float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.shares[move] = min(max(share, 0), 1)
+}
+
+// moves returns the new version of each move with its share.
+func (s *service) moves() map[string]float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	moves := make(map[string]float64, len(s.spec.Moves()))
+	for _, m := range s.spec.Moves() {
+		moves[m.To()] = s.shares[m.Name()]
+	}
+	return moves
+}
+
+func (s *service) description() *catalogue.Service {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.spec
+}
--- /dev/null
+++ b/home/set.go
@@ -0,0 +1,167 @@
+package home
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"medlaryard.example/medlaryard/catalogue"
+	"medlaryard.example/medlaryard/clock"
+	"medlaryard.example/medlaryard/refusal"
+	"medlaryard.example/medlaryard/searcher"
+	"medlaryard.example/medlaryard/shard"
+)
+
+// Set holds all homes of a daemon. It is safe for concurrent use.
+type Set struct {
+	clock    clock.Clock
+	dial     func(*catalogue.Searcher) *searcher.Target
+	leaseEnd func() time.Duration
+	crash    func(fingerprint uint64)
+
+	randomMu sync.Mutex
+	random   *rand.Rand
+
+	mu       sync.RWMutex
+	groups   map[string]*group
+	services map[string]*service
+	adopted  map[string]Released // For groups that are not assigned yet.
+	closed   bool
+}
+
+// NewSet returns a Set without homes.
+func NewSet(opts ...SetOption) *Set {
+	s := &Set{
+		clock:    clock.System{},
+		leaseEnd: func() time.Duration { return forever },
+		crash:    func(uint64) {},
+		random:   rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		groups:   make(map[string]*group),
+		services: make(map[string]*service),
+		adopted:  make(map[string]Released),
+	}
+	for _, opt := range opts {
+		opt(s)
+	}
+	if s.dial == nil {
+		s.dial = func(t *catalogue.Searcher) *searcher.Target {
+			return searcher.NewTargetOf(t, searcher.WithClock(s.clock))
+		}
+	}
+	return s
+}
+
+// Do runs a request at its home and waits for the result, which comes at the
+// request's deadline at the latest.
+func (s *Set) Do(ctx context.Context, req shard.Request) shard.Result {
+	g := s.group(req.Group())
+	if g == nil {
+		return notHome(req)
+	}
+	result := make(chan shard.Result, 1)
+	t := g.start(req, func(r shard.Result) { result <- r })
+	select {
+	case r := <-result:
+		return r
+	case <-ctx.Done():
+		g.withdraw(t)
+		return <-result
+	}
+}
+
+func notHome(req shard.Request) shard.Result {
+	return shard.NewResult(shard.ResultSpec{
+		Kind: refusal.NotHome, Ran: refusal.NotRun, Shard: req.Shard(), Group: req.Group(),
+		Detail: "daemon is not home of group " + req.Group(),
+	})
+}
+
+// Held returns the labels of the snapshots that the group can serve now, newest
+// first.
+func (s *Set) Held(group string) []shard.Label {
+	g := s.group(group)
+	if g == nil {
+		return nil
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.held()
+}
+
+// Evidence returns what was seen of each service, version and route since the
+// Set was made.
+func (s *Set) Evidence() []Evidence {
+	var all []Evidence
+	for _, v := range s.serviceList() {
+		all = append(all, v.ledger.evidence(v.name)...)
+	}
+	return all
+}
+
+// SetMoveShare sets the share of traffic, 0 to 1, that the new version of a
+// move may receive. At 0 it receives no new work at once.
+func (s *Set) SetMoveShare(service, move string, share float64) {
+	s.mu.RLock()
+	v := s.services[service]
+	s.mu.RUnlock()
+	if v == nil {
+		return
+	}
+	v.setShare(move, share)
+	for _, g := range s.groupList() {
+		if g.service == v {
+			g.updateCredits()
+		}
+	}
+}
+
+// Close ends all homes and waits until nothing is in flight.
+func (s *Set) Close() {
+	s.mu.Lock()
+	s.closed = true
+	s.mu.Unlock()
+	for _, g := range s.groupList() {
+		g.shut()
+		<-g.drained()
+	}
+}
+
+func (s *Set) group(id string) *group {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.groups[id]
+}
+
+func (s *Set) groupList() []*group {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	list := make([]*group, 0, len(s.groups))
+	for _, g := range s.groups {
+		list = append(list, g)
+	}
+	slices.SortFunc(list, func(a, b *group) int { return strings.Compare(a.id, b.id) })
+	return list
+}
+
+func (s *Set) serviceList() []*service {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	list := make([]*service, 0, len(s.services))
+	for _, v := range s.services {
+		list = append(list, v)
+	}
+	slices.SortFunc(list, func(a, b *service) int { return strings.Compare(a.name, b.name) })
+	return list
+}
+
+// spread returns d changed by at most a tenth, so that the health requests of
+// many daemons do not fall together.
+func (s *Set) spread(d time.Duration) time.Duration {
+	s.randomMu.Lock()
+	defer s.randomMu.Unlock()
+	const part = 10
+	return d - d/part + time.Duration(s.random.Int64N(int64(2*d/part)))
+}
--- /dev/null
+++ b/searcher/decode.go
@@ -0,0 +1,133 @@
+package searcher
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+
+	"medlaryard.example/medlaryard/refusal"
+	"medlaryard.example/medlaryard/shard"
+)
+
+// maxHits bounds the hits of one reply; the size limit alone would admit
+// millions of empty ones.
+const maxHits = 100_000
+
+type wireLabel struct {
+	Snapshot  uint64 `json:"snapshot"`
+	Map       string `json:"map"`
+	Low       uint64 `json:"low"`
+	High      uint64 `json:"high"`
+	Documents uint64 `json:"documents"`
+	Total     uint64 `json:"total"`
+}
+
+func (w wireLabel) label() shard.Label { return shard.NewLabel(shard.LabelSpec(w)) }
+
+func (w wireLabel) check() error {
+	switch {
+	case w.Snapshot == 0:
+		return errors.New("snapshot is missing")
+	case w.Map == "":
+		return errors.New("partition map is missing")
+	case w.Low >= w.High:
+		return fmt.Errorf("range [%d, %d) is empty", w.Low, w.High)
+	case w.Documents > w.Total:
+		return fmt.Errorf("%d documents of %d in all", w.Documents, w.Total)
+	}
+	return nil
+}
+
+type wireHit struct {
+	ID    string          `json:"id"`
+	Score float64         `json:"score"`
+	Data  json.RawMessage `json:"data"`
+}
+
+type wireReply struct {
+	ID    string `json:"id"`
+	Shard string `json:"shard"`
+	wireLabel
+	Version string          `json:"version"`
+	Hits    []wireHit       `json:"hits"`
+	Body    json.RawMessage `json:"body"`
+}
+
+type wireHealth struct {
+	State     string          `json:"state"`
+	Version   string          `json:"version"`
+	Boot      json.RawMessage `json:"boot"`
+	InFlight  int             `json:"inflight"`
+	Snapshots []wireLabel     `json:"snapshots"`
+}
+
+func badReply(format string, args ...any) *Failure {
+	return NewFailure(FaultReply, refusal.New(refusal.BadReply, format, args...))
+}
+
+// strict decodes exactly one JSON value; trailing bytes are a second reply.
+func strict(body []byte, into any) error {
+	d := json.NewDecoder(bytes.NewReader(body))
+	if err := d.Decode(into); err != nil {
+		return err
+	}
+	if _, err := d.Token(); !errors.Is(err, io.EOF) {
+		return errors.New("bytes follow the value")
+	}
+	return nil
+}
+
+// decodeReply checks a 200 reply against the call that it should answer.
+func decodeReply(c Call, body []byte) (Reply, *Failure) {
+	var w wireReply
+	if err := strict(body, &w); err != nil {
+		return Reply{}, badReply("reply cannot be decoded: %v", err)
+	}
+	if w.ID != c.ID() {
+		return Reply{}, badReply("reply is for request %.64q", w.ID)
+	}
+	if w.Shard != c.Shard() {
+		return Reply{}, badReply("reply is from shard %.64q, not %q", w.Shard, c.Shard())
+	}
+	if err := w.check(); err != nil {
+		return Reply{}, badReply("reply has a bad label: %v", err)
+	}
+	if c.Snapshot() != 0 && w.Snapshot != c.Snapshot() {
+		return Reply{}, badReply("reply is from snapshot %d, not %d", w.Snapshot, c.Snapshot())
+	}
+	label := w.label()
+	if a := c.Announced(); a != nil && *a != label {
+		return Reply{}, badReply("reply has label %+v, announced was %+v", w.wireLabel, *a)
+	}
+	if len(w.Hits) > maxHits {
+		return Reply{}, badReply("reply has %d hits", len(w.Hits))
+	}
+	hits := make([]shard.Hit, len(w.Hits))
+	for i, h := range w.Hits {
+		hits[i] = shard.NewHit(shard.HitSpec{ID: h.ID, Score: h.Score, Data: h.Data})
+	}
+	return NewReply(ReplySpec{Version: w.Version, Label: label, Hits: hits, Body: w.Body}), nil
+}
+
+func decodeHealth(body []byte) (Health, *Failure) {
+	var w wireHealth
+	if err := strict(body, &w); err != nil {
+		return Health{}, badReply("health cannot be decoded: %v", err)
+	}
+	state := State(w.State)
+	if state != Ready && state != Cold && state != Draining {
+		return Health{}, badReply("health has state %.64q", w.State)
+	}
+	labels := make([]shard.Label, 0, len(w.Snapshots))
+	for _, s := range w.Snapshots {
+		if err := s.check(); err != nil {
+			return Health{}, badReply("health has a bad label: %v", err)
+		}
+		labels = append(labels, s.label())
+	}
+	return NewHealth(HealthSpec{
+		State: state, Version: w.Version, Boot: string(w.Boot), InFlight: w.InFlight, Labels: labels,
+	}), nil
+}
--- /dev/null
+++ b/searcher/failure.go
@@ -0,0 +1,20 @@
+package searcher
+
+import "medlaryard.example/medlaryard/refusal"
+
+// Failure is the end of a call without a valid reply.
+type Failure struct {
+	*refusal.Error
+	fault Fault
+}
+
+// NewFailure returns a Failure; err states whether the request ran.
+func NewFailure(fault Fault, err *refusal.Error) *Failure {
+	return &Failure{Error: err, fault: fault}
+}
+
+// Fault is what the failure says about the searcher.
+func (f *Failure) Fault() Fault { return f.fault }
+
+// Unwrap returns the refusal, so that refusal.Of finds it.
+func (f *Failure) Unwrap() error { return f.Error }
