home: pick searchers by expected completion

Cause: the shortest queue keeps sending to a slow searcher. An open-loop event test on fakes (20 shards of 2 searchers, 2 slots, 7 daemons, lognormal service with mean 10 ms) measures p99 with one searcher ten times slow. Change: cost is the expected completion, from a latency estimate that decays to the group's lower median.

--- /dev/null
+++ b/home/fake_test.go
@@ -0,0 +1,212 @@
+package home
+
+import (
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"medlaryard.example/medlaryard/catalogue"
+	"medlaryard.example/medlaryard/refusal"
+	"medlaryard.example/medlaryard/searcher"
+	"medlaryard.example/medlaryard/shard"
+)
+
+const simHop = 700 * time.Microsecond
+
+// fake is a searcher on a simClock. Faults are switched by its fields.
+type fake struct {
+	c    *simClock
+	r    *rand.Rand
+	spec *catalogue.Searcher
+
+	slow       float64 // Factor of the service time.
+	cold       bool
+	coldSlow   float64 // Factor of the service time while cold; 0 is 1.
+	lying      bool    // Health claims ready whatever the state.
+	draining   bool
+	silent     bool
+	dead       bool
+	poison     string // A request of this route crashes it.
+	wrongLabel bool
+	boot       int
+	snapshots  []uint64
+
+	running  int
+	ran      int // Requests started.
+	tooMuch  int // Requests that arrived in a cold start above the cold limit.
+	lateWork int // Requests that started while draining.
+	calls    map[*fakeCall]struct{}
+}
+
+type fakeCall struct {
+	f    *fake
+	call searcher.Call
+	done func(searcher.Reply, *searcher.Failure)
+	runs bool
+}
+
+func newFake(c *simClock, r *rand.Rand, spec *catalogue.Searcher) *fake {
+	return &fake{c: c, r: r, spec: spec, slow: 1, boot: 1, snapshots: []uint64{1}, calls: make(map[*fakeCall]struct{})}
+}
+
+func (f *fake) target() *searcher.Target {
+	return searcher.NewTarget(searcher.TargetSpec{
+		Send:   f.send,
+		Health: f.health,
+		Resize: func(int) {},
+		Open:   func() int { return f.running },
+		Close:  func() {},
+	})
+}
+
+func (f *fake) label(snapshot uint64) shard.Label {
+	return shard.NewLabel(shard.LabelSpec{Snapshot: snapshot, Map: "m", Low: 1, High: 2, Documents: 1, Total: 20})
+}
+
+func (f *fake) health(done func(searcher.Health, *searcher.Failure)) {
+	f.c.AfterFunc(2*simHop, func() {
+		if f.dead || f.silent {
+			done(searcher.Health{}, searcher.NewFailure(searcher.FaultConnect, refusal.New(refusal.SearcherFailed, "fake")))
+			return
+		}
+		state := searcher.Ready
+		switch {
+		case f.lying:
+		case f.draining:
+			state = searcher.Draining
+		case f.cold:
+			state = searcher.Cold
+		}
+		var labels []shard.Label
+		for _, s := range f.snapshots {
+			labels = append(labels, f.label(s))
+		}
+		done(searcher.NewHealth(searcher.HealthSpec{
+			State: state, Version: f.spec.Version(), Boot: string(rune('a' + f.boot)), Labels: labels,
+		}), nil)
+	})
+}
+
+func (f *fake) send(call searcher.Call, done func(searcher.Reply, *searcher.Failure)) func() {
+	x := &fakeCall{f: f, call: call, done: done}
+	f.calls[x] = struct{}{}
+	f.c.AfterFunc(call.Deadline()-f.c.now, func() { x.fail(searcher.FaultSilent, refusal.Deadline, refusal.Unknown) })
+	f.c.AfterFunc(simHop, x.arrive)
+	return func() {
+		f.c.AfterFunc(simHop, func() {
+			x.stop()
+			f.c.AfterFunc(simHop, func() { x.fail(searcher.FaultSilent, refusal.Cancelled, refusal.Unknown) })
+		})
+	}
+}
+
+func (x *fakeCall) end(r searcher.Reply, fl *searcher.Failure) {
+	if _, ok := x.f.calls[x]; !ok {
+		return
+	}
+	delete(x.f.calls, x)
+	x.stop()
+	x.done(r, fl)
+}
+
+func (x *fakeCall) fail(fault searcher.Fault, kind refusal.Kind, ran refusal.Ran) {
+	x.end(searcher.Reply{}, searcher.NewFailure(fault, refusal.New(kind, "fake").WithRan(ran)))
+}
+
+func (x *fakeCall) later(fault searcher.Fault, kind refusal.Kind, ran refusal.Ran) {
+	x.f.c.AfterFunc(simHop, func() { x.fail(fault, kind, ran) })
+}
+
+func (x *fakeCall) stop() {
+	if x.runs {
+		x.runs = false
+		x.f.running--
+	}
+}
+
+func (x *fakeCall) arrive() {
+	f := x.f
+	if _, ok := f.calls[x]; !ok {
+		return
+	}
+	if e := x.call.Permit(); e != nil {
+		x.end(searcher.Reply{}, searcher.NewFailure(searcher.FaultNone, e.WithRan(refusal.NotRun)))
+		return
+	}
+	switch {
+	case f.dead:
+		x.later(searcher.FaultConnect, refusal.SearcherFailed, refusal.NotRun)
+		return
+	case f.silent:
+		return
+	case f.draining:
+		f.lateWork++
+		x.later(searcher.FaultDraining, refusal.NoSearcher, refusal.NotRun)
+		return
+	case f.cold && f.running >= f.spec.ColdLimit():
+		f.tooMuch++
+		x.later(searcher.FaultCold, refusal.Cold, refusal.NotRun)
+		return
+	case f.running >= f.spec.Slots():
+		x.later(searcher.FaultShed, refusal.Overloaded, refusal.NotRun)
+		return
+	case !f.holds(x.call.Snapshot()):
+		x.later(searcher.FaultSnapshot, refusal.SnapshotGone, refusal.NotRun)
+		return
+	}
+	f.ran++
+	f.running++
+	x.runs = true
+	f.c.AfterFunc(f.serviceTime(), x.complete)
+}
+
+func (f *fake) holds(snapshot uint64) bool {
+	for _, s := range f.snapshots {
+		if snapshot == 0 || s == snapshot {
+			return true
+		}
+	}
+	return false
+}
+
+func (x *fakeCall) complete() {
+	if !x.runs || x.f.silent {
+		return
+	}
+	if x.f.poison != "" && x.call.Route() == x.f.poison {
+		x.f.crash()
+		return
+	}
+	x.stop()
+	if x.f.wrongLabel {
+		x.later(searcher.FaultReply, refusal.BadReply, refusal.Unknown)
+		return
+	}
+	snapshot := max(x.call.Snapshot(), x.f.snapshots[0])
+	x.f.c.AfterFunc(simHop, func() {
+		x.end(searcher.NewReply(searcher.ReplySpec{Version: x.f.spec.Version(), Label: x.f.label(snapshot)}), nil)
+	})
+}
+
+// crash kills the process; all that it runs breaks and it restarts cold.
+func (f *fake) crash() {
+	f.boot++
+	f.dead = true
+	for x := range f.calls {
+		if x.runs {
+			x.later(searcher.FaultCrashed, refusal.SearcherFailed, refusal.Unknown)
+		}
+	}
+	f.c.AfterFunc(time.Second, func() { f.dead, f.cold = false, true })
+	f.c.AfterFunc(3*time.Second, func() { f.cold = false })
+}
+
+// serviceTime is lognormal with a mean of 10 ms.
+func (f *fake) serviceTime() time.Duration {
+	const sigma = 0.5
+	ms := 10 * math.Exp(sigma*f.r.NormFloat64()-sigma*sigma/2) * f.slow
+	if f.cold && f.coldSlow > 0 {
+		ms *= f.coldSlow
+	}
+	return time.Duration(ms * float64(time.Millisecond))
+}
--- a/home/pick.go
+++ b/home/pick.go
@@ -3,9 +3,13 @@
 import (
 	"time"
 
+	"medlaryard.example/medlaryard/catalogue"
 	"medlaryard.example/medlaryard/refusal"
 )
 
+// freeLoadWeight is the weight of the load of a searcher that has a free slot.
+const freeLoadWeight = 0.5
+
 // room is the number of further requests that a searcher may receive now.
 func (g *group) room(m *member, now time.Duration) int {
 	if m.warmth.restUntil > now {
@@ -62,16 +66,23 @@
 		if !accept(m) || !g.fits(t, m) || m.limit(g.share) == 0 || m.warmth.restUntil > now {
 			continue
 		}
-		if cost := g.cost(m); best == nil || cost < lowest {
+		if cost := g.cost(m, now); best == nil || cost < lowest {
 			best, lowest = m, cost
 		}
 	}
 	return best
 }
 
-// cost orders searchers. Baseline compares the queues alone.
-func (g *group) cost(m *member) float64 {
-	return float64(m.inflight + m.virtual)
+// cost orders searchers. Baseline compares the queues alone. Current expects
+// the completion: one service time while a slot is free, and the queue's part
+// of it otherwise. The load also counts a little while slots are free, because
+// the latencies of equal searchers differ by chance.
+func (g *group) cost(m *member, now time.Duration) float64 {
+	load := float64(m.inflight+m.virtual+1) / float64(m.limit(g.share))
+	if g.policy == catalogue.Baseline {
+		return load
+	}
+	return (max(1, load) + freeLoadWeight*load) * m.estimate.read(now, g.median)
 }
 
 // hopeless returns the reason why waiting cannot help the task; nil when a
