--- /dev/null
+++ b/peer/handlers.go
@@ -0,0 +1,60 @@
+package peer
+
+import (
+	"context"
+
+	"github.com/twitchtv/twirp"
+
+	"medlaryard.example/medlaryard/peer/peerpb"
+)
+
+// Handlers holds one function per rpc. A call of an rpc without a function is
+// answered as unimplemented.
+type Handlers struct {
+	Relay     func(context.Context, *peerpb.RelayRequest) (*peerpb.RelayReply, error)
+	Heartbeat func(context.Context, *peerpb.HeartbeatRequest) (*peerpb.HeartbeatReply, error)
+	Sync      func(context.Context, *peerpb.SyncRequest) (*peerpb.SyncReply, error)
+	Release   func(context.Context, *peerpb.ReleaseRequest) (*peerpb.ReleaseReply, error)
+	Outcome   func(context.Context, *peerpb.OutcomeRequest) (*peerpb.OutcomeReply, error)
+	Strike    func(context.Context, *peerpb.StrikeRequest) (*peerpb.StrikeReply, error)
+	Report    func(context.Context, *peerpb.ReportRequest) (*peerpb.ReportReply, error)
+}
+
+// service adapts Handlers to the generated interface.
+type service struct{ h Handlers }
+
+func (s service) Relay(ctx context.Context, in *peerpb.RelayRequest) (*peerpb.RelayReply, error) {
+	return serve(ctx, s.h.Relay, in)
+}
+
+func (s service) Heartbeat(ctx context.Context, in *peerpb.HeartbeatRequest) (*peerpb.HeartbeatReply, error) {
+	return serve(ctx, s.h.Heartbeat, in)
+}
+
+func (s service) Sync(ctx context.Context, in *peerpb.SyncRequest) (*peerpb.SyncReply, error) {
+	return serve(ctx, s.h.Sync, in)
+}
+
+func (s service) Release(ctx context.Context, in *peerpb.ReleaseRequest) (*peerpb.ReleaseReply, error) {
+	return serve(ctx, s.h.Release, in)
+}
+
+func (s service) Outcome(ctx context.Context, in *peerpb.OutcomeRequest) (*peerpb.OutcomeReply, error) {
+	return serve(ctx, s.h.Outcome, in)
+}
+
+func (s service) Strike(ctx context.Context, in *peerpb.StrikeRequest) (*peerpb.StrikeReply, error) {
+	return serve(ctx, s.h.Strike, in)
+}
+
+func (s service) Report(ctx context.Context, in *peerpb.ReportRequest) (*peerpb.ReportReply, error) {
+	return serve(ctx, s.h.Report, in)
+}
+
+func serve[Q, R any](ctx context.Context, f func(context.Context, Q) (R, error), in Q) (R, error) {
+	if f == nil {
+		var none R
+		return none, twirp.NewError(twirp.Unimplemented, "daemon has no handler for the call")
+	}
+	return f(ctx, in)
+}
--- /dev/null
+++ b/peer/request.go
@@ -0,0 +1,102 @@
+package peer
+
+import (
+	"time"
+
+	"medlaryard.example/medlaryard/catalogue"
+	"medlaryard.example/medlaryard/peer/peerpb"
+	"medlaryard.example/medlaryard/refusal"
+	"medlaryard.example/medlaryard/shard"
+)
+
+const (
+	maxItems = 4096
+	maxName  = 512 // Bytes of an identifier, owner, service, shard or group.
+	maxHits  = 10000
+)
+
+// RelayRequest returns the message that carries reqs, which belong to one query
+// and differ only in shard and group. The deadline travels as the time left at
+// now, a reading of clock.Clock.Boot, because VMs boot at different times.
+func RelayRequest(reqs []shard.Request, now time.Duration, generation, epoch uint64) *peerpb.RelayRequest {
+	if len(reqs) == 0 {
+		return &peerpb.RelayRequest{Generation: generation, Epoch: epoch}
+	}
+	r := reqs[0]
+	out := &peerpb.RelayRequest{
+		Id:          r.ID(),
+		Owner:       r.Owner(),
+		Class:       string(r.Class()),
+		Service:     r.Service(),
+		Route:       r.Route(),
+		Snapshot:    r.Snapshot(),
+		Limit:       uint32(max(0, r.Limit())),
+		RemainingUs: (r.Deadline() - now).Microseconds(),
+		Idempotent:  r.Idempotent(),
+		Suspect:     r.Suspect(),
+		Acting:      r.Acting(),
+		Fingerprint: r.Fingerprint(),
+		Body:        r.Body(),
+		Generation:  generation,
+		Epoch:       epoch,
+		Items:       make([]*peerpb.RelayItem, 0, len(reqs)),
+	}
+	for _, r := range reqs {
+		out.Items = append(out.Items, &peerpb.RelayItem{Group: r.Group(), Shard: r.Shard()})
+	}
+	return out
+}
+
+// Requests returns the sub-requests of a message received at now. It refuses
+// messages that break a bound.
+func Requests(in *peerpb.RelayRequest, now time.Duration) ([]shard.Request, error) {
+	if err := checkRequest(in); err != nil {
+		return nil, err
+	}
+	reqs := make([]shard.Request, 0, len(in.Items))
+	for _, it := range in.Items {
+		if it == nil || len(it.Group) > maxName || len(it.Shard) > maxName {
+			return nil, refusal.New(refusal.Malformed, "relay item names more than %d bytes", maxName)
+		}
+		reqs = append(reqs, shard.NewRequest(shard.RequestSpec{
+			ID:          in.Id,
+			Owner:       in.Owner,
+			Class:       catalogue.Class(in.Class),
+			Service:     in.Service,
+			Shard:       it.Shard,
+			Group:       it.Group,
+			Route:       in.Route,
+			Snapshot:    in.Snapshot,
+			Limit:       int(in.Limit),
+			Deadline:    now + time.Duration(in.RemainingUs)*time.Microsecond,
+			Idempotent:  in.Idempotent,
+			Fingerprint: in.Fingerprint,
+			Suspect:     in.Suspect,
+			Acting:      in.Acting,
+			Body:        in.Body,
+		}))
+	}
+	return reqs, nil
+}
+
+func checkRequest(in *peerpb.RelayRequest) error {
+	const maxRemaining = time.Hour
+	for _, s := range []string{in.Id, in.Owner, in.Class, in.Service, in.Route} {
+		if len(s) > maxName {
+			return refusal.New(refusal.Malformed, "relay request has a name of %d bytes", len(s))
+		}
+	}
+	switch {
+	case len(in.Items) > maxItems:
+		return refusal.New(refusal.Malformed, "relay request has %d items", len(in.Items))
+	case in.Limit > maxHits:
+		return refusal.New(refusal.Malformed, "relay request asks for %d hits", in.Limit)
+	case !catalogue.Class(in.Class).Valid():
+		return refusal.New(refusal.Malformed, "relay request has class %q", in.Class)
+	case in.RemainingUs <= 0:
+		return refusal.New(refusal.Deadline, "relay request arrived after its deadline").WithRan(refusal.NotRun)
+	case in.RemainingUs > maxRemaining.Microseconds():
+		return refusal.New(refusal.Malformed, "relay request has a deadline of %d us", in.RemainingUs)
+	}
+	return nil
+}
