cell: thin version that wires together

One daemon that reads the configuration from the store and is home of every group. The exported names are those of the full version, so that the daemon can be wired while membership is built.

--- /dev/null
+++ b/cell/option.go
@@ -0,0 +1,95 @@
+package cell
+
+import (
+	"context"
+
+	"medlaryard.example/medlaryard/catalogue"
+	"medlaryard.example/medlaryard/clock"
+	"medlaryard.example/medlaryard/peer/peerpb"
+	"medlaryard.example/medlaryard/store"
+)
+
+// Option changes a Cell.
+type Option func(*config)
+
+type config struct {
+	clk     clock.Clock
+	st      store.Store
+	cell    string
+	calls   Calls
+	parse   func(name, text string, generation uint64) (catalogue.Estate, error)
+	seeds   []string
+	vms     func() (names map[string]bool, known bool)
+	release func(ctx context.Context, groups []string) []*peerpb.ReleasedGroup
+	adopt   func([]*peerpb.ReleasedGroup)
+	groups  func(catalogue.Estate) []catalogue.Group
+	spawn   func(func())
+}
+
+func newConfig(opts []Option) config {
+	c := config{
+		clk:     clock.System{},
+		cell:    "main",
+		vms:     func() (map[string]bool, bool) { return nil, false },
+		release: func(context.Context, []string) []*peerpb.ReleasedGroup { return nil },
+		adopt:   func([]*peerpb.ReleasedGroup) {},
+		groups:  allGroups,
+		spawn:   func(f func()) { go f() },
+	}
+	for _, o := range opts {
+		o(&c)
+	}
+	return c
+}
+
+func allGroups(e catalogue.Estate) []catalogue.Group {
+	var groups []catalogue.Group
+	for _, s := range e.Services() {
+		groups = append(groups, s.Groups()...)
+	}
+	return groups
+}
+
+// WithClock sets the clock of timers and leases.
+func WithClock(clk clock.Clock) Option { return func(c *config) { c.clk = clk } }
+
+// WithStore sets the platform's store.
+func WithStore(st store.Store) Option { return func(c *config) { c.st = st } }
+
+// WithName sets the name of the cell, "main" by default.
+func WithName(name string) Option { return func(c *config) { c.cell = name } }
+
+// WithCalls sets the peer calls.
+func WithCalls(calls Calls) Option { return func(c *config) { c.calls = calls } }
+
+// WithParse sets the function that turns catalogue text into an Estate;
+// evaluate.Text fits.
+func WithParse(parse func(name, text string, generation uint64) (catalogue.Estate, error)) Option {
+	return func(c *config) { c.parse = parse }
+}
+
+// WithSeeds sets the peer addresses that a daemon asks for configuration and
+// membership when the store does not answer.
+func WithSeeds(addresses []string) Option { return func(c *config) { c.seeds = addresses } }
+
+// WithVMs sets the lookup in the VM list: the member names whose VMs it lists.
+// known is false when no list has been read.
+func WithVMs(vms func() (names map[string]bool, known bool)) Option {
+	return func(c *config) { c.vms = vms }
+}
+
+// WithRelease sets the function that stops the homes of groups. It returns when
+// none of their requests is in flight, with what the homes learned.
+func WithRelease(release func(ctx context.Context, groups []string) []*peerpb.ReleasedGroup) Option {
+	return func(c *config) { c.release = release }
+}
+
+// WithAdopt sets the function that receives what the previous homes learned.
+func WithAdopt(adopt func([]*peerpb.ReleasedGroup)) Option {
+	return func(c *config) { c.adopt = adopt }
+}
+
+// WithGroups selects the replica groups that the cell is home of, all by default.
+func WithGroups(groups func(catalogue.Estate) []catalogue.Group) Option {
+	return func(c *config) { c.groups = groups }
+}
--- /dev/null
+++ b/cell/status.go
@@ -0,0 +1,36 @@
+package cell
+
+import "time"
+
+// Status is what operators read about the cell on this daemon.
+type Status struct {
+	Cell           string        `json:"cell"`
+	Name           string        `json:"name"`
+	Incarnation    string        `json:"incarnation"`
+	Keeper         string        `json:"keeper"`
+	IsKeeper       bool          `json:"is_keeper"`
+	Term           uint64        `json:"term"`
+	Epoch          uint64        `json:"epoch"`
+	Settled        bool          `json:"settled"`
+	Members        int           `json:"members"`
+	Asked          uint64        `json:"asked_generation"`    // Highest generation seen anywhere.
+	InForce        uint64        `json:"in_force_generation"` // Generation that this daemon uses.
+	InForceSince   time.Time     `json:"in_force_since"`
+	Author         string        `json:"author"`
+	Refused        string        `json:"refused,omitempty"` // Why the asked generation is not in force.
+	Isolated       bool          `json:"isolated"`
+	Standstill     bool          `json:"standstill"`
+	StoreReachable bool          `json:"store_reachable"`
+	LeaseLeft      time.Duration `json:"lease_left_ns"`
+	Leaving        bool          `json:"leaving"`
+}
+
+// Status returns the state of this daemon in the cell.
+func (c *Cell) Status() Status {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return Status{
+		Cell: c.cfg.cell, Name: c.self.Name(), Incarnation: c.self.Incarnation(), Members: 1,
+		Asked: c.doc.Generation, InForce: c.doc.Generation, Author: c.doc.Author, Leaving: c.leaving,
+	}
+}
