--- /dev/null
+++ b/entry/entry.go
@@ -0,0 +1,111 @@
+package entry
+
+import (
+	"sync/atomic"
+	"time"
+
+	"medlaryard.example/medlaryard/catalogue"
+	"medlaryard.example/medlaryard/clock"
+	"medlaryard.example/medlaryard/refusal"
+)
+
+// Entry plans and merges queries.
+type Entry struct {
+	fleet    Fleet
+	clk      clock.Clock
+	table    *table
+	reach    *reach
+	budget   *budget
+	layouts  layouts
+	inFlight atomic.Int64
+	closing  atomic.Bool
+
+	admit    func(owner string, class catalogue.Class, s *catalogue.Service) (func(), error)
+	standing func(fingerprint uint64) Standing
+	keep     time.Duration
+	origin   time.Time // Wall time at boot, read once.
+}
+
+// Option changes how New builds an Entry.
+type Option func(*Entry)
+
+// WithClock replaces the system clock.
+func WithClock(c clock.Clock) Option { return func(e *Entry) { e.clk = c } }
+
+// WithAdmission sets the check of owners' limits. The returned function ends
+// the request's use of the limits.
+func WithAdmission(f func(owner string, class catalogue.Class, s *catalogue.Service) (func(), error)) Option {
+	return func(e *Entry) { e.admit = f }
+}
+
+// WithStanding sets the lookup of fingerprints that crashed searchers.
+func WithStanding(f func(fingerprint uint64) Standing) Option {
+	return func(e *Entry) { e.standing = f }
+}
+
+// WithKeep sets how long callers may keep the address answer.
+func WithKeep(d time.Duration) Option { return func(e *Entry) { e.keep = d } }
+
+// New returns an Entry over the fleet.
+func New(fleet Fleet, opts ...Option) *Entry {
+	e := &Entry{
+		fleet: fleet,
+		clk:   clock.System{},
+		admit: func(string, catalogue.Class, *catalogue.Service) (func(), error) {
+			return func() {}, nil
+		},
+		standing: func(uint64) Standing { return Clean },
+		keep:     defaultKeep,
+	}
+	for _, o := range opts {
+		o(e)
+	}
+	e.table = newTable(e.clk)
+	e.reach = newReach(e.clk)
+	e.budget = newBudget()
+	// The wall clock may be set while the daemon runs; tickets need a time
+	// that only goes forward.
+	e.origin = e.clk.Now().Add(-e.clk.Boot())
+	return e
+}
+
+// Leave makes the entry refuse new requests. Requests in flight go on.
+func (e *Entry) Leave() { e.closing.Store(true) }
+
+// InFlight returns the number of requests in flight.
+func (e *Entry) InFlight() int64 { return e.inFlight.Load() }
+
+// Now returns the wall time at start plus the time since, which never goes back.
+func (e *Entry) Now() time.Time { return e.origin.Add(e.clk.Boot()) }
+
+// accept checks what every request has in common. Its refusals precede any
+// send, so they are "not run".
+func (e *Entry) accept(q *Query) (*catalogue.Service, uint64, func(), error) {
+	if e.closing.Load() {
+		return nil, 0, nil, refusal.New(refusal.ShuttingDown, "daemon is leaving")
+	}
+	estate, ok := e.fleet.Estate()
+	if !ok {
+		return nil, 0, nil, refusal.New(refusal.NoConfiguration, "daemon has no catalogue yet")
+	}
+	s, ok := estate.Service(q.service)
+	if !ok {
+		return nil, 0, nil, refusal.New(refusal.UnknownService, "service %q is not in the catalogue", q.service)
+	}
+	if e.inFlight.Add(1) > maxInFlight {
+		e.inFlight.Add(-1)
+		return nil, 0, nil, refusal.New(refusal.Overloaded, "daemon has %d requests in flight", maxInFlight)
+	}
+	release, err := e.admit(q.owner, q.class, s)
+	if err != nil {
+		e.inFlight.Add(-1)
+		return nil, 0, nil, err
+	}
+	if limit := s.MaxDeadline(); limit > 0 {
+		q.deadline = min(q.deadline, limit)
+	}
+	return s, estate.Generation(), func() {
+		release()
+		e.inFlight.Add(-1)
+	}, nil
+}
