--- a/entry/entry.go
+++ b/entry/entry.go
@@ -6,19 +6,24 @@
 
 	"medlaryard.example/medlaryard/catalogue"
 	"medlaryard.example/medlaryard/clock"
+	"medlaryard.example/medlaryard/once"
 	"medlaryard.example/medlaryard/refusal"
 )
 
 // Entry plans and merges queries.
 type Entry struct {
-	fleet    Fleet
-	clk      clock.Clock
-	table    *table
-	reach    *reach
-	budget   *budget
-	layouts  layouts
-	inFlight atomic.Int64
-	closing  atomic.Bool
+	fleet   Fleet
+	clk     clock.Clock
+	table   *table
+	reach   *reach
+	budget  *budget
+	layouts layouts
+	once    *once.Table
+	cuts    cuts
+	// incarnation identifies this process in tickets.
+	incarnation string
+	inFlight    atomic.Int64
+	closing     atomic.Bool
 
 	admit    func(owner string, class catalogue.Class, s *catalogue.Service) (func(), error)
 	standing func(fingerprint uint64) Standing
@@ -46,6 +51,12 @@
 // WithKeep sets how long callers may keep the address answer.
 func WithKeep(d time.Duration) Option { return func(e *Entry) { e.keep = d } }
 
+// WithOnce sets the identifier table of non-idempotent requests and the
+// incarnation that they belong to.
+func WithOnce(t *once.Table, incarnation string) Option {
+	return func(e *Entry) { e.once, e.incarnation = t, incarnation }
+}
+
 // New returns an Entry over the fleet.
 func New(fleet Fleet, opts ...Option) *Entry {
 	e := &Entry{
@@ -60,6 +71,9 @@
 	for _, o := range opts {
 		o(e)
 	}
+	if e.once == nil {
+		e.once = once.NewTable(once.WithClock(e.clk))
+	}
 	e.table = newTable(e.clk)
 	e.reach = newReach(e.clk)
 	e.budget = newBudget()
--- a/entry/fleet.go
+++ b/entry/fleet.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"medlaryard.example/medlaryard/catalogue"
+	"medlaryard.example/medlaryard/peer/peerpb"
 	"medlaryard.example/medlaryard/shard"
 )
 
@@ -22,6 +23,10 @@
 	// error means that the daemon gave no answer; refusal.Of(err).Ran() is
 	// NotRun only when no byte of the call was written.
 	Relay func(ctx context.Context, to Home, batch []shard.Request) ([]shard.Result, error)
+	// Outcome asks another daemon for the fate of a non-idempotent request.
+	Outcome func(ctx context.Context, to Home, in *peerpb.OutcomeRequest) (*peerpb.OutcomeReply, error)
+	// Member finds the daemon with an incarnation.
+	Member func(incarnation string) (Home, bool)
 	// Addresses lists the daemons that accept callers.
 	Addresses func() []Address
 }
--- a/entry/run.go
+++ b/entry/run.go
@@ -7,39 +7,13 @@
 
 	"github.com/valyala/fasthttp"
 
+	"medlaryard.example/medlaryard/catalogue"
+	"medlaryard.example/medlaryard/clock"
+	"medlaryard.example/medlaryard/meter"
+	"medlaryard.example/medlaryard/once"
 	"medlaryard.example/medlaryard/refusal"
 )
 
-// Outcome is the end of a non-idempotent request.
-type Outcome struct {
-	kind   refusal.Kind
-	ran    refusal.Ran
-	detail string
-	body   []byte
-}
-
-// NewOutcome returns the Outcome of a request that a searcher answered with body.
-func NewOutcome(body []byte) Outcome {
-	return Outcome{kind: refusal.None, ran: refusal.DidRun, body: body}
-}
-
-// NewRefused returns the Outcome of a request that err ended.
-func NewRefused(err error) Outcome {
-	e := refusal.Of(err)
-	return Outcome{kind: e.Kind(), ran: e.Ran(), detail: e.Detail()}
-}
-
-// Err returns the refusal, nil for an answer.
-func (o Outcome) Err() error {
-	if o.kind == refusal.None {
-		return nil
-	}
-	return refusal.New(o.kind, "%s", o.detail).WithRan(o.ran)
-}
-
-// Body returns the answer of the searcher.
-func (o Outcome) Body() []byte { return o.body }
-
 type outcomeReply struct {
 	ID      string          `json:"id"`
 	Outcome string          `json:"outcome"`
@@ -58,10 +32,116 @@
 		refuse(c, r.id, err)
 		return
 	}
-	send(c, fasthttp.StatusOK, outcomeReply{ID: r.id, Outcome: "ok", Body: rawOf(o.body)})
+	send(c, fasthttp.StatusOK, outcomeReply{ID: r.id, Outcome: "ok", Body: rawOf(o.Body())})
+}
+
+// maxTicketSkew is the time by which a ticket may seem to come from the future,
+// because it is issued in whole milliseconds.
+const maxTicketSkew = time.Second
+
+// Run runs a non-idempotent request that arrived at the boot time, or returns
+// the outcome of its first send.
+func (e *Entry) Run(ctx context.Context, r Run, arrived time.Duration) once.Outcome {
+	began := e.clk.Boot()
+	deadline := arrived + r.deadline - min(answerMargin, r.deadline/marginDivisor)
+	ctx, cancel := clock.WithDeadline(ctx, e.clk, deadline)
+	defer cancel()
+	var o once.Outcome
+	if r.ticket.incarnation != e.incarnation {
+		o = e.runElsewhere(ctx, r)
+	} else {
+		o = e.runHere(ctx, r, deadline)
+	}
+	meter.Latency("entry.run_latency", e.clk.Boot()-began)
+	meter.Count("entry.runs", 1)
+	return o
+}
+
+// runHere serves a request that belongs to this incarnation.
+func (e *Entry) runHere(ctx context.Context, r Run, deadline time.Duration) once.Outcome {
+	if rec := e.once.Find(r.owner, r.id); rec == nil {
+		if err := e.checkTicket(r); err != nil {
+			return once.Refused(err)
+		}
+	}
+	rec, state := e.once.Begin(r.owner, r.id, r.Fingerprint())
+	switch state {
+	case once.Full:
+		// A delayed copy of this send must not run once there is room again.
+		e.cuts.cut(r.owner, e.Now())
+		// A copy that passed the ticket check before the cut may have been
+		// recorded meanwhile.
+		if rec = e.once.Find(r.owner, r.id); rec == nil {
+			return once.Refused(refusal.New(refusal.Overloaded, "identifier table is full"))
+		}
+	case once.Reused:
+		// The identifier's first request may have run.
+		return once.Refused(refusal.New(refusal.Malformed, "id: used for another request").WithRan(refusal.Unknown))
+	case once.Seen:
+		meter.Count("entry.run_resent", 1)
+	case once.Fresh:
+		if e.cuts.before(r.owner, r.ticket.issued) {
+			rec.Finish(once.Refused(refusal.New(refusal.TicketExpired, "ticket is from before an overload")))
+			break
+		}
+		go e.execute(rec, r, deadline)
+	}
+	select {
+	case <-rec.Done():
+		o, _ := rec.Outcome()
+		return o
+	case <-ctx.Done():
+		return once.Refused(refusal.New(refusal.OutcomeUnknown, "request is still running"))
+	}
+}
+
+// checkTicket refuses tickets that may belong to an identifier which is
+// forgotten already.
+func (e *Entry) checkTicket(r Run) error {
+	now := e.Now()
+	age := now.Sub(r.ticket.issued)
+	switch {
+	case age < -maxTicketSkew:
+		return refusal.New(refusal.Malformed, "ticket.issued_ms: lies %v in the future", -age)
+	case age >= e.once.Window():
+		// The request may have run so long ago that its record has expired.
+		return refusal.New(refusal.TicketExpired, "ticket is %v old", age).WithRan(refusal.Unknown)
+	case e.cuts.before(r.owner, r.ticket.issued):
+		return refusal.New(refusal.TicketExpired, "ticket is from before an overload")
+	}
+	return nil
+}
+
+// execute runs in its own goroutine, so that the record gets the true outcome
+// even when the caller's time ends first.
+func (e *Entry) execute(rec *once.Record, r Run, deadline time.Duration) {
+	ctx, cancel := clock.WithDeadline(context.Background(), e.clk, deadline)
+	defer cancel()
+	o := once.Refused(refusal.New(refusal.OutcomeUnknown, "entry failed"))
+	defer func() { rec.Finish(o) }()
+	service, generation, release, err := e.accept(&r.Query)
+	if err != nil {
+		o = once.Refused(err)
+		return
+	}
+	defer release()
+	if err := e.checkRun(service, r); err != nil {
+		o = once.Refused(err)
+		return
+	}
+	groups := e.layouts.of(generation, service).shards[0]
+	o = newAttempt(e, r, service, groups, deadline).work(ctx)
 }
 
-// Run runs a non-idempotent request that arrived at the boot time.
-func (e *Entry) Run(_ context.Context, _ Run, _ time.Duration) Outcome {
-	return NewRefused(refusal.New(refusal.UnknownService, "not served"))
+func (e *Entry) checkRun(s *catalogue.Service, r Run) error {
+	switch {
+	case !s.NonIdempotent():
+		return refusal.New(refusal.Malformed, "service: %q takes no non-idempotent requests", s.Name())
+	case len(s.Shards()) != 1:
+		return refusal.New(refusal.Malformed, "service: %q is sharded", s.Name())
+	case e.standing(r.Fingerprint()) != Clean:
+		// A suspect is not sent again, so the second crash never happens.
+		return refusal.New(refusal.Poisoned, "an equal request crashed a searcher")
+	}
+	return nil
 }
--- /dev/null
+++ b/once/outcome.go
@@ -0,0 +1,42 @@
+package once
+
+import "medlaryard.example/medlaryard/refusal"
+
+// Outcome is the end of a non-idempotent request.
+type Outcome struct {
+	kind   refusal.Kind
+	ran    refusal.Ran
+	detail string
+	body   []byte
+}
+
+// Answered returns the Outcome of a request that a searcher answered with body.
+func Answered(body []byte) Outcome {
+	return Outcome{kind: refusal.None, ran: refusal.DidRun, body: body}
+}
+
+// Refused returns the Outcome of a request that err ended.
+func Refused(err error) Outcome {
+	e := refusal.Of(err)
+	return Outcome{kind: e.Kind(), ran: e.Ran(), detail: e.Detail()}
+}
+
+// Err returns the refusal, nil for an answer.
+func (o Outcome) Err() error {
+	if o.kind == refusal.None {
+		return nil
+	}
+	return refusal.New(o.kind, "%s", o.detail).WithRan(o.ran)
+}
+
+// Kind is refusal.None for an answer.
+func (o Outcome) Kind() refusal.Kind { return o.kind }
+
+// Ran states whether the request ran.
+func (o Outcome) Ran() refusal.Ran { return o.ran }
+
+// Detail explains a refusal to a person.
+func (o Outcome) Detail() string { return o.detail }
+
+// Body is the answer of the searcher.
+func (o Outcome) Body() []byte { return o.body }
--- /dev/null
+++ b/once/side.go
@@ -0,0 +1,15 @@
+package once
+
+// Side selects the table that an Outcome call asks for.
+type Side string
+
+// The sides.
+const (
+	// Entry is the table of the incarnation that requests belong to.
+	Entry Side = "entry"
+	// Home is the table of relayed requests.
+	Home Side = "home"
+)
+
+// AskID returns the identifier that an Outcome call carries.
+func AskID(side Side, owner, id string) string { return string(side) + " " + Key(owner, id) }
