--- a/entry/ask.go
+++ b/entry/ask.go
@@ -21,41 +21,52 @@
 // ask learns the labels of groups whose labels are unknown or old from their
 // homes. Groups without an answer keep what is known of them.
 func (s *search) ask(ctx context.Context) {
-	batches := make(map[string]*batch)
+	now := s.e.clk.Boot()
+	var before, beside []*batch
 	for i := range s.layout.shards {
 		for _, g := range s.layout.shards[i].groups {
-			if _, fresh := s.e.table.of(g); fresh {
-				continue
-			}
-			h, acting, ok := s.e.pick(g, 0)
-			if !ok {
-				continue
-			}
-			if h.Self() {
-				s.e.table.learn(g, s.e.fleet.Held(g))
-				continue
+			switch s.e.table.claim(g) {
+			case wait:
+				before = s.askGroup(before, s.layout.shards[i].shard, g)
+			case refresh:
+				beside = s.askGroup(beside, s.layout.shards[i].shard, g)
 			}
-			b := batches[h.Name()]
-			if b == nil {
-				b = &batch{home: h}
-				batches[h.Name()] = b
-			}
-			b.requests = append(b.requests, s.askRequest(s.layout.shards[i].shard, g, acting > 0))
 		}
 	}
-	if len(batches) == 0 {
+	for _, b := range beside {
+		go func() {
+			ctx, cancel := clock.WithDeadline(context.Background(), s.e.clk, s.deadline)
+			defer cancel()
+			s.askHome(ctx, b)
+		}()
+	}
+	if len(before) == 0 {
 		return
 	}
-	now := s.e.clk.Boot()
 	ctx, cancel := clock.WithDeadline(ctx, s.e.clk, now+fractionOf(s.deadline-now, askFraction))
 	defer cancel()
 	var wg sync.WaitGroup
-	for _, b := range batches {
+	for _, b := range before {
 		wg.Go(func() { s.askHome(ctx, b) })
 	}
 	wg.Wait()
 }
 
+// askGroup adds a group to the batch of its home, or reads this daemon's own.
+func (s *search) askGroup(batches []*batch, name, group string) []*batch {
+	h, at, ok := s.e.pick(group, 0)
+	if !ok {
+		return batches
+	}
+	if h.Self() {
+		if labels := s.e.fleet.Held(group); len(labels) > 0 {
+			s.e.table.learn(group, labels)
+		}
+		return batches
+	}
+	return join(batches, h, 0, s.askRequest(name, group, at > 0))
+}
+
 func (s *search) askHome(ctx context.Context, b *batch) {
 	meter.Count("entry.ask.sent", 1)
 	results, err := s.e.fleet.Relay(ctx, b.home, b.requests)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -25,7 +25,7 @@
 	inFlight    atomic.Int64
 	closing     atomic.Bool
 
-	admit    func(owner string, class catalogue.Class, s *catalogue.Service) (func(), error)
+	admit    func(estate catalogue.Estate, owner string, class catalogue.Class, s *catalogue.Service) (func(), error)
 	standing func(fingerprint uint64) Standing
 	keep     time.Duration
 	origin   time.Time // Wall time at boot, read once.
@@ -39,7 +39,7 @@
 
 // WithAdmission sets the check of owners' limits. The returned function ends
 // the request's use of the limits.
-func WithAdmission(f func(owner string, class catalogue.Class, s *catalogue.Service) (func(), error)) Option {
+func WithAdmission(f func(estate catalogue.Estate, owner string, class catalogue.Class, s *catalogue.Service) (func(), error)) Option {
 	return func(e *Entry) { e.admit = f }
 }
 
@@ -62,7 +62,7 @@
 	e := &Entry{
 		fleet: fleet,
 		clk:   clock.System{},
-		admit: func(string, catalogue.Class, *catalogue.Service) (func(), error) {
+		admit: func(catalogue.Estate, string, catalogue.Class, *catalogue.Service) (func(), error) {
 			return func() {}, nil
 		},
 		standing: func(uint64) Standing { return Clean },
@@ -106,11 +106,15 @@
 	if !ok {
 		return nil, 0, nil, refusal.New(refusal.UnknownService, "service %q is not in the catalogue", q.service)
 	}
-	if e.inFlight.Add(1) > maxInFlight {
+	bound := int64(maxInFlight)
+	if q.class == catalogue.Batch {
+		bound = maxBatchInFlight
+	}
+	if e.inFlight.Add(1) > bound {
 		e.inFlight.Add(-1)
-		return nil, 0, nil, refusal.New(refusal.Overloaded, "daemon has %d requests in flight", maxInFlight)
+		return nil, 0, nil, refusal.New(refusal.Overloaded, "daemon has %d requests in flight", bound)
 	}
-	release, err := e.admit(q.owner, q.class, s)
+	release, err := e.admit(estate, q.owner, q.class, s)
 	if err != nil {
 		e.inFlight.Add(-1)
 		return nil, 0, nil, err
--- a/entry/limits.go
+++ b/entry/limits.go
@@ -4,19 +4,21 @@
 
 // Bounds of the callers' interface.
 const (
-	maxBodyBytes    = 1 << 20
-	maxNameBytes    = 128
-	maxHits         = 1000
-	maxConnections  = 4096
-	maxConnsPerIP   = 1024
-	maxInFlight     = 4096
-	readTimeout     = 10 * time.Second
-	writeTimeout    = 10 * time.Second
-	idleTimeout     = 60 * time.Second
-	defaultHits     = 10
-	defaultDeadline = time.Second
-	maxDeadline     = time.Minute
-	defaultKeep     = 5 * time.Second
+	maxBodyBytes   = 1 << 20
+	maxNameBytes   = 128
+	maxHits        = 1000
+	maxConnections = 4096
+	maxConnsPerIP  = 1024
+	maxInFlight    = 4096
+	// maxBatchInFlight keeps room for interactive requests.
+	maxBatchInFlight = maxInFlight / 2
+	readTimeout      = 10 * time.Second
+	writeTimeout     = 10 * time.Second
+	idleTimeout      = 60 * time.Second
+	defaultHits      = 10
+	defaultDeadline  = time.Second
+	maxDeadline      = time.Minute
+	defaultKeep      = 5 * time.Second
 )
 
 // Times within one query.
--- a/entry/plan.go
+++ b/entry/plan.go
@@ -23,7 +23,7 @@
 	votes := make([]vote, 0, maxLabels)
 	for i := range l.shards {
 		for _, g := range l.shards[i].groups {
-			labels, _ := t.of(g)
+			labels := t.of(g)
 			votes = count(votes, labels, i, exclude)
 		}
 	}
@@ -93,12 +93,19 @@
 	n := uint64(len(s.groups))
 	for k := range n {
 		g := s.groups[(h+k)%n]
-		labels, _ := t.of(g)
-		for _, label := range labels {
-			if targetOf(label) == to {
-				return lane{shard: s.shard, group: g, label: label, known: true}
-			}
+		if label, ok := announcement(t.of(g), to); ok {
+			return lane{shard: s.shard, group: g, label: label, known: true}
 		}
 	}
 	return lane{shard: s.shard, group: s.groups[h%n]}
 }
+
+// announcement finds the label of a target.
+func announcement(labels []shard.Label, to target) (shard.Label, bool) {
+	for _, label := range labels {
+		if targetOf(label) == to {
+			return label, true
+		}
+	}
+	return shard.Label{}, false
+}
--- a/entry/search.go
+++ b/entry/search.go
@@ -54,10 +54,10 @@
 // answer fans out until a complete answer is found or no restart can better
 // the one at hand.
 func (s *search) answer(ctx context.Context) (*Answer, error) {
-	s.ask(ctx)
 	var best *Answer
 	var last *fanout
 	for restarts := 0; ; restarts++ {
+		s.ask(ctx)
 		p, ok := choose(s.layout, s.e.table, s.q.id, s.tried)
 		if !ok {
 			break
@@ -77,6 +77,12 @@
 		if !f.stale {
 			break
 		}
+		// A withdrawn snapshot or a new partition map concerns all groups.
+		for _, g := range s.layout.shards {
+			for _, id := range g.groups {
+				s.e.table.doubt(id)
+			}
+		}
 	}
 	switch {
 	case best != nil:
--- a/entry/table.go
+++ b/entry/table.go
@@ -10,9 +10,12 @@
 )
 
 const (
-	// maxLabelAge is the age after which a group's labels are asked for again
-	// before a plan. Busy groups refresh with every result.
-	maxLabelAge = 5 * time.Second
+	// refreshAge is the age after which a query causes a group's labels to be
+	// asked for beside it, so that a new snapshot is used within a second.
+	refreshAge = time.Second
+	// maxLabelAge is the age after which a query waits for new labels. Older
+	// ones only cost a restart.
+	maxLabelAge = 30 * time.Second
 	// maxGroups bounds the table: 130 groups in each of 500 services.
 	maxGroups = 65536
 	// maxLabels is the number of snapshots kept for one group. Searchers hold
@@ -31,6 +34,7 @@
 type held struct {
 	labels []shard.Label
 	at     time.Duration // Boot time of the report.
+	asked  time.Duration // Boot time of the latest question.
 }
 
 func newTable(clk clock.Clock) *table {
@@ -56,12 +60,53 @@
 	t.groups[group] = held{labels: kept, at: now}
 }
 
-// of returns the labels of a group; fresh is false when they should be asked for.
-func (t *table) of(group string) (labels []shard.Label, fresh bool) {
+// of returns the labels of a group, newest first.
+func (t *table) of(group string) []shard.Label {
 	t.mu.RLock()
 	defer t.mu.RUnlock()
+	return t.groups[group].labels
+}
+
+// need states what a query has to do about the labels of a group.
+type need int
+
+const (
+	none    need = iota
+	refresh      // Ask beside the query.
+	wait         // Ask before the plan.
+)
+
+// claim returns the need for a question. Only one caller a second is told to refresh.
+func (t *table) claim(group string) need {
+	now := t.clk.Boot()
+	t.mu.RLock()
 	h, ok := t.groups[group]
-	return h.labels, ok && len(h.labels) > 0 && t.clk.Boot()-h.at < maxLabelAge
+	t.mu.RUnlock()
+	switch {
+	case !ok, len(h.labels) == 0, now-h.at >= maxLabelAge:
+		return wait
+	case now-max(h.at, h.asked) < refreshAge:
+		return none
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	h = t.groups[group]
+	if now-max(h.at, h.asked) < refreshAge {
+		return none
+	}
+	h.asked = now
+	t.groups[group] = h
+	return refresh
+}
+
+// doubt makes the next query wait for new labels of the group.
+func (t *table) doubt(group string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if h, ok := t.groups[group]; ok {
+		h.at = t.clk.Boot() - maxLabelAge
+		t.groups[group] = h
+	}
 }
 
 // evictLocked removes some group; the catalogue has removed most of a full table.
--- a/entry/take.go
+++ b/entry/take.go
@@ -55,6 +55,10 @@
 		meter.Count("entry.result.late", 1)
 		return false
 	}
+	if !l.known {
+		// The group may have announced the target since the plan was made.
+		l.label, l.known = announcement(f.s.e.table.of(l.group), f.p.target)
+	}
 	kind, detail := l.check(f.p.target, r)
 	switch kind {
 	case refusal.None:
