--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -78,7 +78,11 @@
 		if e.Ran() == refusal.NotRun {
 			return once.Refused(e)
 		}
-		return a.e.ask(ctx, h, once.AskID(once.Home, a.r.owner, a.r.id))
+		if a.e.clk.Boot() >= a.deadline {
+			// After a long pause the home may have forgotten the request.
+			return unknown(e.Detail())
+		}
+		return a.e.ask(ctx, h, once.AskHome(a.r.owner, a.r.id))
 	}
 	a.e.reach.answered(h)
 	res, n := find(results, r)
--- a/entry/elsewhere.go
+++ b/entry/elsewhere.go
@@ -24,14 +24,14 @@
 	if !ok {
 		return unknown("the request belongs to an incarnation that is not a member")
 	}
-	return e.ask(ctx, h, once.AskID(once.Entry, r.owner, r.id))
+	return e.ask(ctx, h, once.AskEntry(r.ticket.issued, r.owner, r.id))
 }
 
 // ask returns the outcome of a request at another daemon. An identifier that is
 // unknown there is barred there, so the outcome "not run" is final.
-func (e *Entry) ask(ctx context.Context, h Home, id string) once.Outcome {
+func (e *Entry) ask(ctx context.Context, h Home, q once.Question) once.Outcome {
 	for pause := firstAskPause; ; pause = min(2*pause, lastAskPause) {
-		reply, err := e.fleet.Outcome(ctx, h, &peerpb.OutcomeRequest{Id: id, Incarnation: h.Incarnation()})
+		reply, err := e.fleet.Outcome(ctx, h, &peerpb.OutcomeRequest{Id: q.String(), Incarnation: h.Incarnation()})
 		switch {
 		case err != nil:
 			return unknown("daemon that the request belongs to does not answer")
--- a/entry/run.go
+++ b/entry/run.go
@@ -35,10 +35,6 @@
 	send(c, fasthttp.StatusOK, outcomeReply{ID: r.id, Outcome: "ok", Body: rawOf(o.Body())})
 }
 
-// maxTicketSkew is the time by which a ticket may seem to come from the future,
-// because it is issued in whole milliseconds.
-const maxTicketSkew = time.Second
-
 // Run runs a non-idempotent request that arrived at the boot time, or returns
 // the outcome of its first send.
 func (e *Entry) Run(ctx context.Context, r Run, arrived time.Duration) once.Outcome {
@@ -101,7 +97,7 @@
 	now := e.Now()
 	age := now.Sub(r.ticket.issued)
 	switch {
-	case age < -maxTicketSkew:
+	case age < 0:
 		return refusal.New(refusal.Malformed, "ticket.issued_ms: lies %v in the future", -age)
 	case age >= e.once.Window():
 		// The request may have run so long ago that its record has expired.
--- a/once/desk.go
+++ b/once/desk.go
@@ -1,7 +1,7 @@
 package once
 
 import (
-	"strings"
+	"time"
 
 	"medlaryard.example/medlaryard/meter"
 	"medlaryard.example/medlaryard/peer/peerpb"
@@ -11,31 +11,42 @@
 // Desk answers Outcome calls of other daemons.
 type Desk struct {
 	incarnation string
+	now         func() time.Time
 	tables      map[Side]*Table
 }
 
-// NewDesk returns a Desk of a daemon incarnation with its two tables.
-func NewDesk(incarnation string, entry, home *Table) *Desk {
-	return &Desk{incarnation: incarnation, tables: map[Side]*Table{Entry: entry, Home: home}}
+// NewDesk returns a Desk of a daemon incarnation with its two tables. The
+// function is the clock that tickets are issued with.
+func NewDesk(incarnation string, now func() time.Time, entry, home *Table) *Desk {
+	return &Desk{incarnation: incarnation, now: now, tables: map[Side]*Table{Entry: entry, Home: home}}
 }
 
-// Outcome answers one call. An identifier that is unknown is barred; when that
-// is impossible the reply says known and not finished, which proves nothing.
+// Outcome answers one call. An identifier that was never seen is barred.
 func (d *Desk) Outcome(in *peerpb.OutcomeRequest) (*peerpb.OutcomeReply, error) {
 	if in.Incarnation != d.incarnation {
 		return &peerpb.OutcomeReply{WrongIncarnation: true}, nil
 	}
-	part := strings.SplitN(in.Id, " ", 3)
-	if len(part) != 3 || d.tables[Side(part[0])] == nil {
-		return nil, refusal.New(refusal.Malformed, "identifier %q has no side and owner", in.Id)
+	q, err := parseQuestion(in.Id)
+	if err != nil {
+		return nil, err
 	}
 	meter.Count("once.asked", 1)
-	r, known := d.tables[Side(part[0])].Bar(part[1], part[2])
+	t := d.tables[q.side]
+	if !q.issued.IsZero() && d.now().Sub(q.issued) >= t.Window() && t.Find(q.owner, q.id) == nil {
+		return unproved(refusal.TicketExpired, "the request's record may have expired"), nil
+	}
+	r, known := t.Bar(q.owner, q.id)
 	if r == nil {
-		return &peerpb.OutcomeReply{Known: true}, nil
+		return unproved(refusal.OutcomeUnknown, "identifier table is full"), nil
 	}
 	o, finished := r.Outcome()
 	return &peerpb.OutcomeReply{
 		Known: known, Finished: finished, Kind: string(o.kind), Ran: string(o.ran), Body: o.body, Detail: o.detail,
 	}, nil
 }
+
+func unproved(kind refusal.Kind, detail string) *peerpb.OutcomeReply {
+	return &peerpb.OutcomeReply{
+		Known: true, Finished: true, Kind: string(kind), Ran: string(refusal.Unknown), Detail: detail,
+	}
+}
--- a/once/side.go
+++ b/once/side.go
@@ -10,6 +10,3 @@
 	// Home is the table of relayed requests.
 	Home Side = "home"
 )
-
-// AskID returns the identifier that an Outcome call carries.
-func AskID(side Side, owner, id string) string { return string(side) + " " + Key(owner, id) }
