move: judge, step and roll back version moves

Ruled out: a significance test on each look (300 runs of 3,000 looks at the limit raise false alarms); histograms with two significant figures (7 times the memory and time of one); comparing the quantiles directly, which has no error bound that holds under repeated looks. Change: a mixture sequential probability ratio test on errors and on requests slower than the permitted multiple of the old 0.95 quantile, per route and pooled, over the step and the last 15 s; steps by conditional update with read-back; a follower that stops a version by local evidence. Not wired to the homes yet.

--- /dev/null
+++ b/move/follower.go
@@ -0,0 +1,135 @@
+package move
+
+import (
+	"sync"
+
+	"github.com/rs/zerolog/log"
+
+	"medlaryard.example/medlaryard/catalogue"
+	"medlaryard.example/medlaryard/clock"
+	"medlaryard.example/medlaryard/invariant"
+	"medlaryard.example/medlaryard/meter"
+)
+
+// Follower applies the shares of moves to the homes of this daemon. It stops a
+// bad version at once by the daemon's own evidence, without waiting for the
+// controller.
+type Follower struct {
+	clock    clock.Clock
+	setShare func(service, move string, share float64)
+
+	mu     sync.Mutex
+	ledger *ledger
+	moves  map[string]*followed
+}
+
+type followed struct {
+	service string
+	move    *catalogue.Move
+	step    uint64
+	phase   Phase
+	share   float64
+	stopped string
+	window  *window
+}
+
+// NewFollower returns a Follower. The setShare function is told every change,
+// with 0 for a version that must receive nothing.
+func NewFollower(c clock.Clock, setShare func(service, move string, share float64)) *Follower {
+	return &Follower{clock: c, setShare: setShare, ledger: newLedger(), moves: make(map[string]*followed)}
+}
+
+// Declare takes the moves of an estate. A new move starts with share 0.
+func (f *Follower) Declare(estate catalogue.Estate) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	declared := make(map[string]bool)
+	for _, s := range estate.Services() {
+		for _, m := range s.Moves() {
+			key := Key(s.Name(), m.Name())
+			declared[key] = true
+			f.declare(key, s.Name(), m)
+		}
+	}
+	for key := range f.moves {
+		if !declared[key] {
+			delete(f.moves, key)
+		}
+	}
+}
+
+func (f *Follower) declare(key, service string, m *catalogue.Move) {
+	old, ok := f.moves[key]
+	if ok && old.move.From() == m.From() && old.move.To() == m.To() {
+		old.move = m
+		return
+	}
+	f.moves[key] = &followed{service: service, move: m, phase: Pending, window: newWindow(f.clock.Boot())}
+	f.setShare(service, m.Name(), 0)
+}
+
+// Apply takes a state that the controller announced. States older than the
+// known one, which arrive late, change nothing.
+func (f *Follower) Apply(s State) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	m, ok := f.moves[Key(s.service, s.move)]
+	if !ok || !s.Matches(m.move) || s.step <= m.step {
+		return
+	}
+	if !invariant.Check("move.final", !m.phase.Final(), "move %s of %s goes on after %s", s.move, s.service, m.phase) {
+		return
+	}
+	m.step, m.phase, m.share = s.step, s.phase, s.share
+	m.window = newWindow(f.clock.Boot())
+	if m.stopped == "" || m.phase.Final() {
+		f.setShare(s.service, s.move, s.share)
+	}
+}
+
+// Observe judges the daemon's own cumulative evidence and stops the versions
+// that it proves bad.
+func (f *Follower) Observe(evidence []Evidence) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.clock.Boot()
+	for _, e := range evidence {
+		d := f.ledger.difference("", e, now)
+		for _, m := range f.moves {
+			if m.service == e.service && m.phase == Running {
+				m.window.add(m.move, e.version, e.route, d, now)
+			}
+		}
+	}
+	f.ledger.expire(now)
+	for _, m := range f.moves {
+		f.judge(m)
+	}
+}
+
+func (f *Follower) judge(m *followed) {
+	if m.phase != Running || m.stopped != "" {
+		return
+	}
+	fault := m.window.fault(NewGuard(m.move))
+	if fault == "" {
+		return
+	}
+	m.stopped = fault
+	f.setShare(m.service, m.move.Name(), 0)
+	meter.Count("move.stopped_locally", 1)
+	log.Warn().Str("service", m.service).Str("move", m.move.Name()).Str("reason", fault).Msg("version stopped by local evidence")
+}
+
+// Stops returns the versions that this daemon stopped.
+func (f *Follower) Stops() []Stop {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var stops []Stop
+	for _, m := range f.moves {
+		if m.stopped != "" {
+			stops = append(stops, Stop{service: m.service, move: m.move.Name(), to: m.move.To(), reason: m.stopped})
+		}
+	}
+	return stops
+}
