--- a/move/follower.go
+++ b/move/follower.go
@@ -33,6 +33,15 @@
 	window  *window
 }
 
+// effective is the share that the homes apply: none after a local stop, until
+// the controller has ended the move.
+func (m *followed) effective() float64 {
+	if m.stopped != "" && !m.phase.Final() {
+		return 0
+	}
+	return m.share
+}
+
 // NewFollower returns a Follower. The setShare function is told every change,
 // with 0 for a version that must receive nothing.
 func NewFollower(c clock.Clock, setShare func(service, move string, share float64)) *Follower {
@@ -80,11 +89,12 @@
 	if !invariant.Check("move.final", !m.phase.Final(), "move %s of %s goes on after %s", s.move, s.service, m.phase) {
 		return
 	}
+	if s.share < 0 || s.share > 1 {
+		return
+	}
 	m.step, m.phase, m.share = s.step, s.phase, s.share
 	m.window = newWindow(f.clock.Boot())
-	if m.stopped == "" || m.phase.Final() {
-		f.setShare(s.service, s.move, s.share)
-	}
+	f.setShare(m.service, s.move, m.effective())
 }
 
 // Observe judges the daemon's own cumulative evidence and stops the versions
@@ -104,6 +114,8 @@
 	f.ledger.expire(now)
 	for _, m := range f.moves {
 		f.judge(m)
+		// A home that was made since the last call does not know its share yet.
+		f.setShare(m.service, m.move.Name(), m.effective())
 	}
 }
 
@@ -116,7 +128,6 @@
 		return
 	}
 	m.stopped = fault
-	f.setShare(m.service, m.move.Name(), 0)
 	meter.Count("move.stopped_locally", 1)
 	log.Warn().Str("service", m.service).Str("move", m.move.Name()).Str("reason", fault).Msg("version stopped by local evidence")
 }
--- a/move/state.go
+++ b/move/state.go
@@ -7,6 +7,7 @@
 	"github.com/rotisserie/eris"
 
 	"medlaryard.example/medlaryard/catalogue"
+	"medlaryard.example/medlaryard/peer/peerpb"
 )
 
 // State is the stored progress of one move.
@@ -43,6 +44,23 @@
 	return State{service: service, move: m.Name(), from: m.From(), to: m.To(), phase: Pending}
 }
 
+// FromShare returns the part of a state that homes need, as a controller
+// announced it.
+func FromShare(in *peerpb.MoveShare) State {
+	return State{
+		service: in.GetService(), move: in.GetMove(), from: in.GetFrom(), to: in.GetTo(),
+		phase: Phase(in.GetState()), step: in.GetStep(), share: in.GetShare(),
+	}
+}
+
+// ToShare is the inverse of FromShare.
+func (s State) ToShare() *peerpb.MoveShare {
+	return &peerpb.MoveShare{
+		Service: s.service, Move: s.move, From: s.from, To: s.to,
+		State: string(s.phase), Step: s.step, Share: s.share,
+	}
+}
+
 // Key returns the store key of a move's state.
 func Key(service, move string) string { return "move/" + service + "/" + move }
 
