--- a/standin/cmd/load/main.go
+++ b/standin/cmd/load/main.go
@@ -29,7 +29,8 @@
 	Limit       int           `default:"10" help:"Highest number of hits, at most 100."`
 	Seed        uint64        `default:"1" help:"Determines bodies and resends."`
 	Queries     int           `default:"100" help:"Number of different queries."`
-	Estate      string        `type:"existingfile" help:"YAML file of the searchers, to compare answers with the reference."`
+	Documents   int           `help:"Documents of the searchers' corpus, to compare answers with the reference; 0 skips that."`
+	CorpusSeed  uint64        `default:"1" help:"Seed of the searchers' corpus."`
 	RunRatio    float64       `help:"Share of non-idempotent requests."`
 	RunService  string        `help:"Service that receives them."`
 	ResendRatio float64       `help:"Share of non-idempotent requests that are sent again."`
@@ -56,12 +57,8 @@
 		Seed: c.Seed, Queries: c.Queries, RunRatio: c.RunRatio, RunService: c.RunService,
 		ResendRatio: c.ResendRatio, Searchers: c.Searchers,
 	}
-	if c.Estate != "" {
-		estate, err := searchers.LoadEstate(c.Estate)
-		if err != nil {
-			return nil, err
-		}
-		cfg.Corpus = estate.Corpus()
+	if c.Documents > 0 {
+		cfg.Corpus = searchers.NewCorpus(c.CorpusSeed, c.Documents)
 	}
 	return load.Run(ctx, cfg)
 }
