--- a/cell/adopt.go
+++ b/cell/adopt.go
@@ -77,7 +77,8 @@
 	before := c.view.owned(self)
 	kept := c.view.fullGroups(now, self)
 	c.pending.m = nil
-	c.view.m, c.view.settled, c.view.kept, c.view.granted = m, false, kept, make(map[string]bool)
+	c.view.m, c.view.settled, c.view.recorded = m, false, false
+	c.view.kept, c.view.granted = kept, make(map[string]bool)
 	c.release.plan(now, old, m, c.view.table)
 	c.view.table = nil
 	c.fillTableLocked()
--- a/cell/beat.go
+++ b/cell/beat.go
@@ -89,6 +89,7 @@
 		v.settled = true
 		c.changed = true
 	}
+	v.recorded = v.recorded || r.FullShare && r.Recorded
 	c.changed = c.changed || now >= was
 }
 
--- a/cell/keeper.go
+++ b/cell/keeper.go
@@ -81,6 +81,7 @@
 	}
 	r.Accepted = k.hear(now, from, in.Epoch)
 	r.FullShare = r.Accepted && (k.settled || k.settle(now, c.gone()))
+	r.Recorded = r.FullShare && k.told
 	invariant.Check("cell.grant", !r.Accepted || now < k.lease, "granted at %v after the store lease ended at %v", now, k.lease)
 	if in.Generation > c.config.doc.Generation {
 		c.pullLocked(from.PeerAddress(), in.Generation)
@@ -238,7 +239,7 @@
 	next.members = members
 	next.keeper, _ = findMember(members, k.cur.keeper.Incarnation())
 	next.generation, next.digest = generation, digest
-	next.previous = k.holders(now)
+	next.previous = k.holders()
 	if k.settled {
 		next.base, next.baseEpoch = k.cur.members, k.cur.epoch
 	}
@@ -250,7 +251,7 @@
 }
 
 // holders returns all that may be homes by the current or an earlier epoch.
-func (k *keeper) holders(now time.Duration) []Member {
+func (k *keeper) holders() []Member {
 	if k.settled {
 		return k.cur.members
 	}
--- a/cell/view.go
+++ b/cell/view.go
@@ -12,6 +12,7 @@
 	m        *membership
 	table    *table          // Nil while the catalogue of the epoch is missing.
 	settled  bool            // The keeper said that no earlier home remains.
+	recorded bool            // The store has that too, so the next base is this epoch's members.
 	kept     map[string]bool // Groups that this daemon had in full before the epoch.
 	granted  map[string]bool // Groups whose only earlier home confirmed release.
 	released uint64          // Newest epoch for which all lost homes have stopped.
--- a/cell/write.go
+++ b/cell/write.go
@@ -138,7 +138,7 @@
 		return
 	}
 	if a.m != k.cur {
-		k.cur, k.settled, k.ackedAt, k.lastEpoch = a.m, false, 0, now
+		k.cur, k.settled, k.told, k.ackedAt, k.lastEpoch = a.m, false, false, 0, now
 		k.forget()
 		// After a lost reply, others may have read the epoch from the store and
 		// passed it on before.
