admission, entry: tests of limits, suspects and typed refusals

TestRefusalTakesNothing showed that a new gate started with one token instead of its burst, because the limiter was created infinite and changed later.

--- a/admission/gate.go
+++ b/admission/gate.go
@@ -30,11 +30,17 @@
 		return
 	}
 	g.limits, g.entries = limits, n
-	if r := limits.Rate() / float64(n); r > 0 {
+	r := limits.Rate() / float64(n)
+	burst := max(1, int(r*burstTime.Seconds()))
+	switch {
+	case r <= 0:
+		g.rate = rate.NewLimiter(rate.Inf, 1)
+	case g.rate.Limit() == rate.Inf:
+		// A limiter that was infinite would start without its burst.
+		g.rate = rate.NewLimiter(rate.Limit(r), burst)
+	default:
 		g.rate.SetLimitAt(now, rate.Limit(r))
-		g.rate.SetBurstAt(now, max(1, int(r*burstTime.Seconds())))
-	} else {
-		g.rate.SetLimitAt(now, rate.Inf)
+		g.rate.SetBurstAt(now, burst)
 	}
 	g.concurrency = 0
 	if c := limits.Concurrency(); c > 0 {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -89,6 +89,10 @@
 // InFlight returns the number of requests in flight.
 func (e *Entry) InFlight() int64 { return e.inFlight.Load() }
 
+// Reachable reports whether the daemon of that name answered the latest call to
+// it. The membership shows a lost daemon only after its lease.
+func (e *Entry) Reachable(name string) bool { return e.reach.answers(name) }
+
 // Now returns the wall time at start plus the time since, which never goes back.
 func (e *Entry) Now() time.Time { return e.origin.Add(e.clk.Boot()) }
 
--- a/entry/limits.go
+++ b/entry/limits.go
@@ -8,8 +8,9 @@
 	maxNameBytes   = 128
 	maxHits        = 1000
 	maxConnections = 4096
-	maxConnsPerIP  = 1024
-	maxInFlight    = 4096
+	// spareConnections above maxConnections are still answered, with a refusal.
+	spareConnections = 1024
+	maxInFlight      = 4096
 	// maxBatchInFlight keeps room for interactive requests.
 	maxBatchInFlight = maxInFlight / 2
 	readTimeout      = 10 * time.Second
--- a/entry/reach.go
+++ b/entry/reach.go
@@ -82,3 +82,10 @@
 	r.peers[h.Name()] = c
 	return true
 }
+
+// answers reports whether the daemon answered its latest call, without trying it.
+func (r *reach) answers(name string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.peers[name].until == 0
+}
--- a/entry/server.go
+++ b/entry/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -13,8 +14,9 @@
 
 // Server is the callers' listener.
 type Server struct {
-	e    *Entry
-	http *fasthttp.Server
+	e           *Entry
+	http        *fasthttp.Server
+	connections atomic.Int64
 }
 
 // NewServer returns a Server of e with the limits on size, time and connections
@@ -25,8 +27,8 @@
 		Handler:               s.handle,
 		ErrorHandler:          s.handleError,
 		Name:                  "medlaryard",
-		Concurrency:           maxConnections,
-		MaxConnsPerIP:         maxConnsPerIP,
+		Concurrency:           maxConnections + spareConnections,
+		ConnState:             s.count,
 		MaxRequestBodySize:    maxBodyBytes,
 		ReadTimeout:           readTimeout,
 		WriteTimeout:          writeTimeout,
@@ -47,6 +49,11 @@
 
 func (s *Server) handle(c *fasthttp.RequestCtx) {
 	arrived := s.e.clk.Boot()
+	if n := s.connections.Load(); n > maxConnections {
+		refuse(c, "", refusal.New(refusal.Overloaded, "daemon has %d connections of callers", n))
+		c.SetConnectionClose()
+		return
+	}
 	method, path := string(c.Method()), string(c.Path())
 	switch {
 	case method == fasthttp.MethodGet && path == "/v1/addresses":
@@ -60,6 +67,16 @@
 	}
 }
 
+// count follows the number of open connections.
+func (s *Server) count(_ net.Conn, state fasthttp.ConnState) {
+	switch state {
+	case fasthttp.StateNew:
+		s.connections.Add(1)
+	case fasthttp.StateClosed, fasthttp.StateHijacked:
+		s.connections.Add(-1)
+	}
+}
+
 // handleError answers what fasthttp rejects before the handler runs.
 func (s *Server) handleError(c *fasthttp.RequestCtx, err error) {
 	kind := refusal.Malformed
--- /dev/null
+++ b/entry/server_test.go
@@ -0,0 +1,91 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+
+	"medlaryard.example/medlaryard/catalogue"
+	"medlaryard.example/medlaryard/refusal"
+)
+
+// serveEntry starts a Server on a free port and returns its address.
+func serveEntry(t *testing.T, e *Entry) (*Server, string) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := NewServer(e)
+	done := make(chan error, 1)
+	go func() { done <- s.Serve(l) }()
+	t.Cleanup(func() {
+		if err := s.Shutdown(context.Background()); err != nil {
+			t.Error(err)
+		}
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+	})
+	return s, "http://" + l.Addr().String()
+}
+
+// Guards against a fault of a request that is answered without a typed refusal,
+// or with a status that differs from the table.
+func TestServerAnswersFaultsWithTypedRefusals(t *testing.T) {
+	empty := func() (catalogue.Estate, bool) { return catalogue.Estate{}, true }
+	e := New(Fleet{Estate: empty, Addresses: func() []Address { return nil }})
+	s, base := serveEntry(t, e)
+	check := func(name, path, body string, kind refusal.Kind) {
+		t.Helper()
+		resp, err := http.Post(base+path, "application/json", strings.NewReader(body))
+		if err != nil {
+			t.Fatalf("%s: %v", name, err)
+		}
+		defer resp.Body.Close()
+		data, err := io.ReadAll(resp.Body)
+		if err != nil {
+			t.Fatalf("%s: %v", name, err)
+		}
+		var r refusalReply
+		if err := json.Unmarshal(data, &r); err != nil {
+			t.Fatalf("%s: %s: %v", name, data, err)
+		}
+		want := refusal.For(kind)
+		if r.Kind != kind || resp.StatusCode != want.Status() || r.Retry != want.Retry() || r.Ran != refusal.NotRun {
+			t.Errorf("%s: status %d, refusal %+v; want kind %s", name, resp.StatusCode, r, kind)
+		}
+	}
+	check("path", "/v1/other", goodQuery, refusal.Malformed)
+	check("syntax", "/v1/query", "{", refusal.Malformed)
+	check("service", "/v1/query", goodQuery, refusal.UnknownService)
+	check("ticket", "/v1/run", goodQuery, refusal.Malformed)
+	check("size", "/v1/query", strings.Repeat(" ", maxBodyBytes+1), refusal.TooLarge)
+	s.connections.Add(maxConnections)
+	check("connections", "/v1/query", goodQuery, refusal.Overloaded)
+	s.connections.Add(-maxConnections)
+	e.Leave()
+	check("leaving", "/v1/query", goodQuery, refusal.ShuttingDown)
+}
+
+// Guards against an address answer that a caller cannot make a ticket from.
+func TestAddressesCarryTicketTime(t *testing.T) {
+	e := New(Fleet{Addresses: func() []Address { return []Address{NewAddress("10.0.0.1:80", "ab", "d1")} }})
+	_, base := serveEntry(t, e)
+	resp, err := http.Get(base + "/v1/addresses")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	var r addressesReply
+	if err := json.NewDecoder(resp.Body).Decode(&r); err != nil {
+		t.Fatal(err)
+	}
+	if len(r.Addresses) != 1 || r.Addresses[0].Incarnation != "ab" || r.IssuedMS <= 0 || r.KeepMS != defaultKeep.Milliseconds() {
+		t.Errorf("answer %+v", r)
+	}
+}
