daemon: wire the whole path

Clock, store, VM list, cell, homes, peers' and operators' listeners, entry, status, log limits and graceful shutdown; cmd/medlaryard gets its store and daemon.

--- a/cmd/medlaryard/main.go
+++ b/cmd/medlaryard/main.go
@@ -7,6 +7,8 @@
 
 	"medlaryard.example/medlaryard/clock"
 	"medlaryard.example/medlaryard/command"
+	"medlaryard.example/medlaryard/daemon"
+	"medlaryard.example/medlaryard/store"
 )
 
 func main() {
@@ -15,6 +17,10 @@
 		Stdout: os.Stdout,
 		Stderr: os.Stderr,
 		Clock:  clock.System{},
+		OpenStore: func(address string) store.Store {
+			return store.NewHTTP("http://" + address)
+		},
+		Serve: daemon.Run,
 	}
 	os.Exit(int(command.Main(context.Background(), os.Args[1:], env)))
 }
--- /dev/null
+++ b/daemon/daemon.go
@@ -0,0 +1,184 @@
+package daemon
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/rs/zerolog/log"
+
+	"medlaryard.example/medlaryard/admission"
+	"medlaryard.example/medlaryard/catalogue"
+	"medlaryard.example/medlaryard/catalogue/evaluate"
+	"medlaryard.example/medlaryard/cell"
+	"medlaryard.example/medlaryard/clock"
+	"medlaryard.example/medlaryard/entry"
+	"medlaryard.example/medlaryard/home"
+	"medlaryard.example/medlaryard/once"
+	"medlaryard.example/medlaryard/peer"
+	"medlaryard.example/medlaryard/searcher"
+	"medlaryard.example/medlaryard/settings"
+	"medlaryard.example/medlaryard/store"
+	"medlaryard.example/medlaryard/vmlist"
+)
+
+// daemon is one process of the tier.
+type daemon struct {
+	cfg         settings.Settings
+	clk         clock.Clock
+	incarnation string
+	started     time.Time
+
+	store    *store.Counted
+	vms      *vmlist.Reader
+	client   *peer.Client
+	cell     *cell.Cell
+	homes    *home.Set
+	suspects *admission.Suspects
+	trial    *admission.Trial
+	guard    *once.Guard
+	desk     *once.Desk
+	entry    *entry.Entry
+
+	callers   *entry.Server
+	peers     *server
+	operators *server
+	listeners listeners
+
+	view    atomic.Pointer[view]
+	changed chan struct{}
+	strikes *herald
+	shares  shareLog
+	leaving atomic.Bool
+	failed  chan error // Holds the first failure of a listener.
+
+	ctx    context.Context
+	cancel context.CancelFunc
+	tasks  sync.WaitGroup
+}
+
+// newDaemon opens the listeners and builds all parts without starting them.
+func newDaemon(cfg settings.Settings) (*daemon, error) {
+	incarnation, err := newIncarnation()
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	d := &daemon{
+		cfg: cfg, clk: clock.System{}, incarnation: incarnation, started: time.Now(),
+		changed: make(chan struct{}, 1), failed: make(chan error, 1), ctx: ctx, cancel: cancel,
+	}
+	d.view.Store(&view{})
+	if d.listeners, err = listen(cfg); err != nil {
+		cancel()
+		return nil, err
+	}
+	d.store = store.NewCounted(store.NewHTTP("http://"+cfg.StoreAddress(),
+		store.WithTimeout(cfg.StoreTimeout()), store.WithWatchWait(cfg.StoreWatchWait())))
+	if cfg.VMListAddress() != "" {
+		d.vms = vmlist.NewReader("http://"+cfg.VMListAddress(), vmlist.WithInterval(cfg.VMListInterval()))
+	}
+	peerOptions := []peer.Option{
+		peer.WithKey(cfg.PeerKey()), peer.WithConnections(cfg.PeerConnections()),
+		peer.WithMaxMessage(int64(cfg.PeerMessageBytes())),
+	}
+	d.client = peer.NewClient(peerOptions...)
+	d.strikes = newHerald(d.client, d.others)
+	d.suspects = admission.NewSuspects(d.clk, d.strikes.tell)
+	d.homes = home.NewSet(
+		home.WithLeaseEnd(func() time.Duration { return d.cell.LeaseEnd() }),
+		home.WithCrash(d.suspects.Crashed),
+		home.WithTargets(func(s *catalogue.Searcher) *searcher.Target {
+			return searcher.NewTargetOf(s, searcher.WithReplyLimit(cfg.SearcherReplyBytes()))
+		}),
+	)
+	d.trial = admission.NewTrial(d.suspects, d.homes.Do)
+	d.newCell()
+	d.newEntry()
+	d.callers = entry.NewServer(d.entry)
+	d.peers = newServer("peers", peer.NewServer(d.handlers(), peerOptions...))
+	d.operators = newServer("operators", d.operatorHandler())
+	return d, nil
+}
+
+func (d *daemon) newCell() {
+	self := cell.NewMember(cell.MemberSpec{
+		Name: d.cfg.Name(), Incarnation: d.incarnation, Domain: d.cfg.Domain(), Region: d.cfg.Region(),
+		CallerAddress: d.cfg.CallerAdvertise(), PeerAddress: d.cfg.PeerAdvertise(),
+	})
+	d.cell = cell.New(
+		self,
+		cell.WithStore(d.store),
+		cell.WithName(d.cfg.Cell()),
+		cell.WithCalls(cell.Calls{Heartbeat: d.client.Heartbeat, Sync: d.client.Sync, Release: d.client.Release}),
+		cell.WithParse(func(name, text string, generation uint64) (catalogue.Estate, error) {
+			return evaluate.Text(name, []byte(text), generation)
+		}),
+		cell.WithSeeds(d.cfg.Peers()),
+		cell.WithRelease(d.release),
+		cell.WithAdopt(d.adopt),
+	)
+	d.cell.OnChange(func() {
+		select {
+		case d.changed <- struct{}{}:
+		default: // A refresh is due already.
+		}
+	})
+}
+
+func (d *daemon) newEntry() {
+	tableOptions := []once.Option{
+		once.WithWindow(d.cfg.OnceWindow()), once.WithRecords(d.cfg.OnceRecords()), once.WithBytes(d.cfg.OnceBytes()),
+	}
+	own, relayed := once.NewTable(tableOptions...), once.NewTable(tableOptions...)
+	limiter := admission.NewLimiter(d.clk, func() int { return len(d.view.Load().addresses) })
+	d.entry = entry.New(
+		d.fleet(),
+		entry.WithAdmission(limiter.Admit),
+		entry.WithStanding(d.standing),
+		entry.WithOnce(own, d.incarnation),
+		entry.WithKeep(d.cfg.AddressTTL()),
+	)
+	d.guard = once.NewGuard(relayed, d.trial.Do)
+	d.desk = once.NewDesk(d.incarnation, d.entry.Now, own, relayed)
+}
+
+// start begins all work. Callers are served last.
+func (d *daemon) start() {
+	if d.vms != nil {
+		d.vms.Start()
+	}
+	d.serve("peers", d.listeners.peers, d.peers.serve)
+	d.serve("operators", d.listeners.operators, d.operators.serve)
+	d.tasks.Go(func() { d.cell.Run(d.ctx) })
+	d.tasks.Go(d.refreshLoop)
+	d.tasks.Go(func() { d.strikes.run(d.ctx, d.clk, d.suspects) })
+	d.serve("callers", d.listeners.callers, d.callers.Serve)
+	log.Info().Str("incarnation", d.incarnation).Str("callers", d.listeners.callers.Addr().String()).
+		Str("peers", d.listeners.peers.Addr().String()).Str("operators", d.listeners.operators.Addr().String()).
+		Msg("daemon started")
+}
+
+func (d *daemon) serve(name string, l net.Listener, serve func(net.Listener) error) {
+	d.tasks.Go(func() {
+		if err := serve(l); err != nil {
+			select {
+			case d.failed <- eris.Wrapf(err, "listener for %s", name):
+			default:
+			}
+		}
+	})
+}
+
+func newIncarnation() (string, error) {
+	var id [16]byte
+	if _, err := rand.Read(id[:]); err != nil {
+		return "", eris.Wrap(err, "incarnation")
+	}
+	return hex.EncodeToString(id[:]), nil
+}
--- /dev/null
+++ b/daemon/handlers.go
@@ -0,0 +1,68 @@
+package daemon
+
+import (
+	"context"
+
+	"medlaryard.example/medlaryard/home"
+	"medlaryard.example/medlaryard/peer"
+	"medlaryard.example/medlaryard/peer/peerpb"
+)
+
+// handlers are the peer calls that this daemon serves.
+func (d *daemon) handlers() peer.Handlers {
+	return peer.Handlers{
+		Relay:     d.serveRelay,
+		Heartbeat: d.cell.HandleHeartbeat,
+		Sync:      d.cell.HandleSync,
+		Release:   d.cell.HandleRelease,
+		Outcome: func(_ context.Context, in *peerpb.OutcomeRequest) (*peerpb.OutcomeReply, error) {
+			return d.desk.Outcome(in)
+		},
+		Strike: func(_ context.Context, in *peerpb.StrikeRequest) (*peerpb.StrikeReply, error) {
+			d.suspects.Merge(in.Strikes)
+			return &peerpb.StrikeReply{}, nil
+		},
+	}
+}
+
+// release stops the homes of groups and returns what they learned.
+func (d *daemon) release(ctx context.Context, groups []string) []*peerpb.ReleasedGroup {
+	var out []*peerpb.ReleasedGroup
+	for _, r := range d.homes.Release(ctx, groups) {
+		out = append(out, releasedOut(r))
+	}
+	return out
+}
+
+// adopt hands what previous homes learned to this daemon's homes.
+func (d *daemon) adopt(groups []*peerpb.ReleasedGroup) {
+	for _, g := range groups {
+		if g != nil {
+			d.homes.Adopt(g.Group, releasedIn(g))
+		}
+	}
+}
+
+func releasedOut(r home.Released) *peerpb.ReleasedGroup {
+	out := &peerpb.ReleasedGroup{Group: r.Group()}
+	for _, e := range r.Searchers() {
+		out.Searchers = append(out.Searchers, &peerpb.SearcherEstimate{
+			Name: e.Name(), Address: e.Address(), Warm: e.Warm(),
+			LatencyUs: e.Latency().Microseconds(), ColdLimit: uint32(max(0, e.ColdLimit())),
+		})
+	}
+	return out
+}
+
+func releasedIn(g *peerpb.ReleasedGroup) home.Released {
+	var list []home.Estimate
+	for _, s := range g.Searchers {
+		if s != nil {
+			list = append(list, home.NewEstimate(home.EstimateSpec{
+				Name: s.Name, Address: s.Address, Warm: s.Warm,
+				Latency: microseconds(s.LatencyUs), ColdLimit: int(s.ColdLimit),
+			}))
+		}
+	}
+	return home.NewReleased(g.Group, list)
+}
--- /dev/null
+++ b/daemon/herald.go
@@ -0,0 +1,80 @@
+package daemon
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"medlaryard.example/medlaryard/admission"
+	"medlaryard.example/medlaryard/clock"
+	"medlaryard.example/medlaryard/meter"
+	"medlaryard.example/medlaryard/peer"
+	"medlaryard.example/medlaryard/peer/peerpb"
+)
+
+const (
+	// strikeQueue bounds the strikes that wait to be told.
+	strikeQueue = 1024
+	// strikeTimeout bounds one call.
+	strikeTimeout = time.Second
+	// repeatInterval is the time between repetitions for daemons that missed a
+	// strike or have started since.
+	repeatInterval = 10 * time.Second
+	// repeatStrikes bounds a repetition, about 5 KB.
+	repeatStrikes = 256
+)
+
+// herald tells the other daemons of the cell about crashes.
+type herald struct {
+	client *peer.Client
+	others func() []string
+	queue  chan []*peerpb.CrashStrike
+}
+
+func newHerald(client *peer.Client, others func() []string) *herald {
+	return &herald{client: client, others: others, queue: make(chan []*peerpb.CrashStrike, strikeQueue)}
+}
+
+// tell queues strikes. It never blocks; what does not fit is repeated later.
+func (h *herald) tell(strikes []*peerpb.CrashStrike) {
+	select {
+	case h.queue <- strikes:
+	default:
+		meter.Count("daemon.strike.deferred", 1)
+	}
+}
+
+func (h *herald) run(ctx context.Context, clk clock.Clock, s *admission.Suspects) {
+	t := clk.NewTimer(repeatInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case strikes := <-h.queue:
+			h.send(ctx, strikes)
+		case <-t.C():
+			t.Reset(repeatInterval)
+			if strikes := s.Strikes(repeatStrikes); len(strikes) > 0 {
+				h.send(ctx, strikes)
+			}
+		}
+	}
+}
+
+// send calls all daemons at once and waits for them.
+func (h *herald) send(ctx context.Context, strikes []*peerpb.CrashStrike) {
+	ctx, cancel := context.WithTimeout(ctx, strikeTimeout)
+	defer cancel()
+	var wg sync.WaitGroup
+	for _, address := range h.others() {
+		wg.Go(func() {
+			if _, err := h.client.Strike(ctx, address, &peerpb.StrikeRequest{Strikes: strikes}); err != nil {
+				meter.Count("daemon.strike.failed", 1)
+			}
+		})
+	}
+	wg.Wait()
+}
+
+func microseconds(n int64) time.Duration { return time.Duration(max(0, n)) * time.Microsecond }
--- /dev/null
+++ b/daemon/server.go
@@ -0,0 +1,48 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/rs/zerolog/log"
+)
+
+// Limits of the listeners for peers and operators.
+const (
+	headerTimeout  = 5 * time.Second
+	idleTimeout    = 2 * time.Minute
+	maxHeaderBytes = 16 << 10
+)
+
+// server is an HTTP server with limits.
+type server struct {
+	http *http.Server
+}
+
+func newServer(name string, h http.Handler) *server {
+	return &server{http: &http.Server{
+		Handler:           h,
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+		ErrorLog:          newStdLog(log.With().Str("listener", name).Logger()),
+	}}
+}
+
+// serve returns nil after shutdown.
+func (s *server) serve(l net.Listener) error {
+	if err := s.http.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
+
+// shutdown waits for requests in flight until ctx ends.
+func (s *server) shutdown(ctx context.Context) {
+	if s.http.Shutdown(ctx) != nil {
+		_ = s.http.Close()
+	}
+}
--- /dev/null
+++ b/daemon/view.go
@@ -0,0 +1,102 @@
+package daemon
+
+import (
+	"time"
+
+	"medlaryard.example/medlaryard/catalogue"
+	"medlaryard.example/medlaryard/cell"
+	"medlaryard.example/medlaryard/entry"
+	"medlaryard.example/medlaryard/home"
+	"medlaryard.example/medlaryard/lease"
+)
+
+// refreshInterval bounds the time until a lease that ended by itself is seen in
+// status. Sends check the lease themselves.
+const refreshInterval = 250 * time.Millisecond
+
+// view is what queries read: one state of catalogue and membership, without locks.
+type view struct {
+	estate    catalogue.Estate
+	known     bool // A catalogue is in force.
+	groups    []catalogue.Group
+	homes     map[string][]entry.Home
+	members   map[string]entry.Home // By incarnation.
+	addresses []callerAddress
+}
+
+// callerAddress is an entry with the name of its daemon.
+type callerAddress struct {
+	entry.Address
+	member string
+}
+
+// refreshLoop follows the cell.
+func (d *daemon) refreshLoop() {
+	t := time.NewTicker(refreshInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-d.ctx.Done():
+			return
+		case <-d.changed:
+			d.refreshView()
+			d.refreshShares(true)
+		case <-t.C:
+			d.refreshShares(false)
+		}
+	}
+}
+
+func (d *daemon) refreshView() {
+	v := &view{homes: make(map[string][]entry.Home), members: make(map[string]entry.Home)}
+	v.estate, v.known = d.cell.Estate()
+	homes := make(map[string]entry.Home)
+	for _, m := range d.cell.Members() {
+		h := d.homeOf(m)
+		homes[m.Name()] = h
+		v.members[m.Incarnation()] = h
+		self := m.Incarnation() == d.incarnation
+		if !m.Leaving() && (!self || !d.leaving.Load()) {
+			a := entry.NewAddress(m.CallerAddress(), m.Incarnation(), m.Domain())
+			v.addresses = append(v.addresses, callerAddress{a, m.Name()})
+		}
+	}
+	for _, s := range v.estate.Services() {
+		for _, g := range s.Groups() {
+			v.groups = append(v.groups, g)
+			order := d.cell.Order(g)
+			list := make([]entry.Home, 0, len(order))
+			for _, m := range order {
+				h, ok := homes[m.Name()]
+				if !ok {
+					h = d.homeOf(m)
+				}
+				list = append(list, h)
+			}
+			v.homes[g.ID()] = list
+		}
+	}
+	d.view.Store(v)
+}
+
+func (d *daemon) homeOf(m cell.Member) entry.Home {
+	return entry.NewHome(entry.HomeSpec{
+		Name: m.Name(), Incarnation: m.Incarnation(), PeerAddress: m.PeerAddress(),
+		Self: m.Incarnation() == d.incarnation,
+	})
+}
+
+// refreshShares applies the shares of this daemon to its homes when one changed
+// or apply is set.
+func (d *daemon) refreshShares(apply bool) {
+	v := d.view.Load()
+	shares := make(map[string]lease.Share)
+	for _, g := range v.groups {
+		if s := d.cell.Share(g); s != lease.None {
+			shares[g.ID()] = s
+		}
+	}
+	if d.shares.set(shares, time.Now()) || apply {
+		d.homes.Apply(home.NewAssignment(home.AssignmentSpec{Estate: v.estate, Shares: shares}))
+	}
+}
