--- a/daemon/fleet.go
+++ b/daemon/fleet.go
@@ -20,7 +20,7 @@
 			return v.estate, v.known
 		},
 		Order: func(group string) []entry.Home { return d.view.Load().homes[group] },
-		Local: func(ctx context.Context, r shard.Request) shard.Result { return d.trial.Do(ctx, r) },
+		Local: func(ctx context.Context, r shard.Request) shard.Result { return d.withHeld(d.trial.Do(ctx, r)) },
 		Held:  func(group string) []shard.Label { return d.homes.Held(group) },
 		Relay: d.relay,
 		Outcome: func(ctx context.Context, to entry.Home, in *peerpb.OutcomeRequest) (*peerpb.OutcomeReply, error) {
@@ -93,7 +93,7 @@
 	done := make(chan struct{}, len(requests))
 	for i, r := range requests {
 		go func() {
-			results[i] = d.guard.Do(ctx, r)
+			results[i] = d.withHeld(d.guard.Do(ctx, r))
 			done <- struct{}{}
 		}()
 	}
@@ -114,3 +114,21 @@
 	}
 	return results
 }
+
+// withHeld adds what the group holds to an answer from another snapshot than
+// the newest. In a steady state replies stay small, and entries know from the
+// absence that nothing changed.
+func (d *daemon) withHeld(r shard.Result) shard.Result {
+	if r.Kind() != refusal.None {
+		return r
+	}
+	held := d.homes.Held(r.Group())
+	if len(held) == 0 || held[0] == r.Label() {
+		return r
+	}
+	return shard.NewResult(shard.ResultSpec{
+		Kind: r.Kind(), Ran: r.Ran(), Shard: r.Shard(), Group: r.Group(), Searcher: r.Searcher(),
+		Version: r.Version(), Label: r.Label(), Hits: r.Hits(), Body: r.Body(), Attempts: r.Attempts(),
+		Crashed: r.Crashed(), Held: held, Detail: r.Detail(),
+	})
+}
--- a/entry/fleet.go
+++ b/entry/fleet.go
@@ -9,7 +9,8 @@
 )
 
 // Fleet is what the entry needs from the rest of the daemon. All functions are
-// safe for concurrent use.
+// safe for concurrent use. A result of Local or Relay carries the labels held by
+// its group unless its own label is the newest of them.
 type Fleet struct {
 	// Estate returns the catalogue in force; ok is false before the first one.
 	Estate func() (estate catalogue.Estate, ok bool)
--- a/entry/server.go
+++ b/entry/server.go
@@ -33,6 +33,7 @@
 		ReadTimeout:           readTimeout,
 		WriteTimeout:          writeTimeout,
 		IdleTimeout:           idleTimeout,
+		Logger:                serverLog{},
 		NoDefaultContentType:  true,
 		NoDefaultServerHeader: true,
 		CloseOnShutdown:       true,
--- a/entry/table.go
+++ b/entry/table.go
@@ -11,7 +11,8 @@
 
 const (
 	// refreshAge is the age after which a query causes a group's labels to be
-	// asked for beside it, so that a new snapshot is used within a second.
+	// asked for beside it, so that a new snapshot is used within a second. The
+	// results of busy groups keep their labels young.
 	refreshAge = time.Second
 	// maxLabelAge is the age after which a query waits for new labels. Older
 	// ones only cost a restart.
@@ -60,6 +61,17 @@
 	t.groups[group] = held{labels: kept, at: now}
 }
 
+// confirm records that the labels of a group are still the ones known.
+func (t *table) confirm(group string, newest shard.Label) {
+	now := t.clk.Boot()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if h, ok := t.groups[group]; ok && len(h.labels) > 0 && h.labels[0] == newest {
+		h.at = now
+		t.groups[group] = h
+	}
+}
+
 // of returns the labels of a group, newest first.
 func (t *table) of(group string) []shard.Label {
 	t.mu.RLock()
--- a/entry/take.go
+++ b/entry/take.go
@@ -65,6 +65,9 @@
 		if !l.known {
 			l.label, l.known = r.Label(), true
 		}
+		if len(r.Held()) == 0 {
+			f.s.e.table.confirm(l.group, r.Label())
+		}
 		return false
 	case refusal.SnapshotGone:
 		f.stale = true
--- a/entry/world_test.go
+++ b/entry/world_test.go
@@ -228,6 +228,9 @@
 		spec.Shard = "s9"
 	}
 	spec.Kind, spec.Ran, spec.Label = refusal.None, refusal.DidRun, l
+	if held := w.labels(r.Group()); held[0] != l {
+		spec.Held = held
+	}
 	spec.Hits = documents(l.Snapshot(), l.Low(), l.High())
 	return shard.NewResult(spec)
 }
