cell: a leaving daemon without a successor does not wait for settlement

Cause: quickstart stops three daemons one after the other. The last one waited the whole shutdown limit of 60 s and a second signal ended it with exit code 1, because its epoch could not settle: a majority of the last settled epoch had left already. Ruled out: requests in flight (count 0), the address time-to-live (1 s there). Change: Leave does not wait for settlement when no member stays. Two ungraceful losses of three at once still leave the third at the reserved share until the VM list drops them.

--- a/cell/leave.go
+++ b/cell/leave.go
@@ -35,7 +35,9 @@
 		return true
 	}
 	me, ok := v.m.member(c.self.Incarnation())
-	if ok && (!me.Leaving() || !v.settled) {
+	// Without a successor there is nobody to wait for: the epoch may never
+	// settle, because a majority of the last settled one can have left already.
+	if ok && (!me.Leaving() || (!v.settled && v.m.hasSuccessor())) {
 		return false
 	}
 	k := c.keeper
@@ -49,3 +51,13 @@
 	}
 	return false
 }
+
+// hasSuccessor reports whether any member stays.
+func (m *membership) hasSuccessor() bool {
+	for _, x := range m.members {
+		if !x.Leaving() {
+			return true
+		}
+	}
+	return false
+}
