syntax: bound what makes the parser slow

The time of go-yaml grows with the square of the keys of one mapping, of empty values, and of the text once it prints a syntax error. 200 kB of 'a:' lines took 11.6 s and 890 kB of '-' lines 194 s. Tokens are counted before parsing, and the printed form of a syntax error is not made.

--- a/catalogue/syntax/parse.go
+++ b/catalogue/syntax/parse.go
@@ -68,13 +68,13 @@
 
 func syntaxProblem(name string, err error) Problem {
 	at := Position{file: name}
-	detail := err.Error()
 	var fault *yaml.SyntaxError
-	if errors.As(err, &fault) {
-		detail = fault.GetMessage()
-		if tk := fault.GetToken(); tk != nil && tk.Position != nil {
-			at = NewPosition(name, tk.Position.Line, tk.Position.Column)
-		}
+	if !errors.As(err, &fault) {
+		return NewProblem(at, "", "valid YAML", err.Error())
+	}
+	if tk := fault.GetToken(); tk != nil && tk.Position != nil {
+		at = NewPosition(name, tk.Position.Line, tk.Position.Column)
 	}
-	return NewProblem(at, "", "valid YAML", detail)
+	// The time of fault.Error grows with the square of the text.
+	return NewProblem(at, "", "valid YAML", fault.GetMessage())
 }
--- /dev/null
+++ b/catalogue/syntax/parse_test.go
@@ -0,0 +1,42 @@
+package syntax_test
+
+import (
+	"strings"
+	"testing"
+
+	"medlaryard.example/medlaryard/catalogue/syntax"
+)
+
+// Guards against texts that exhaust the parser's stack or time: they are
+// refused before the parser sees them.
+func TestParseBoundsWork(t *testing.T) {
+	tests := []struct{ name, text, want string }{
+		{"nested lists", strings.Repeat("[", 100_000), "f:1:33: (root): expected at most 32 levels of nesting"},
+		{"nested mappings", strings.Repeat("{a: ", 50_000), "at most 32 levels of nesting"},
+		{"lists in one line", strings.Repeat("- ", 100_000), "at most 32 levels of nesting"},
+		{"keys of one mapping", strings.Repeat("a:\n", 50_000), "f:1001:2: (root): expected at most 1000 keys in one mapping"},
+		{"keys of one flow mapping", "{" + strings.Repeat("a: 1, ", 30_000) + "}", "at most 1000 keys in one mapping"},
+		{"keys after a nested mapping", strings.Repeat("a:\n  b: 1\n  c: 2\n", 10_000), "at most 1000 keys in one mapping"},
+		{"empty list entries", strings.Repeat("-\n", 50_000), "f:1002:1: (root): expected at most 1000 empty values"},
+		{"empty values in a list", strings.Repeat("- a:\n", 50_000), "at most 1000 empty values"},
+		{"explicit keys", strings.Repeat("? a\n", 100), "found an explicit key"},
+		{"long text", strings.Repeat("#", syntax.MaxText+1), "f: (root): expected at most 900000 bytes"},
+		{"not UTF-8", "a: \xff", "expected UTF-8 text"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			if _, err := syntax.Parse("f", []byte(tt.text)); err == nil || !strings.Contains(err.Error(), tt.want) {
+				t.Errorf("got error %.200v, want %q", err, tt.want)
+			}
+		})
+	}
+}
+
+// Guards against a bound on keys that counts those of several mappings together.
+func TestParseCountsKeysOfEachMapping(t *testing.T) {
+	text := "l:\n" + strings.Repeat("  - a: 1\n    b: {c: 1, d: [e: 1]}\n    f:\n      g: 1\n    h:\n    - 1\n", 2_000) + "---\nm: 1\n"
+	docs, err := syntax.Parse("f", []byte(text))
+	if err != nil || len(docs) != 2 || len(docs[0].Entries()[0].Value().Items()) != 2_000 {
+		t.Errorf("%d documents, error %v", len(docs), err)
+	}
+}
--- a/catalogue/syntax/tokens.go
+++ b/catalogue/syntax/tokens.go
@@ -14,6 +14,9 @@
 func checkTokens(name string, tokens token.Tokens, ps *Problems) bool {
 	ok := true
 	flow, inline, line := 0, 0, 0
+	var keys keyCounter
+	var nulls nullCounter
+	var previous *token.Token
 	for _, tk := range tokens {
 		at := NewPosition(name, tk.Position.Line, tk.Position.Column)
 		if what := refusedToken(tk.Type); what != "" {
@@ -28,13 +31,22 @@
 			flow++
 		case token.SequenceEndType, token.MappingEndType:
 			flow--
-		case token.SequenceEntryType, token.MappingKeyType, token.MappingValueType:
+		case token.SequenceEntryType, token.MappingValueType:
 			inline++
 		}
 		if flow > maxDepth || (flow == 0 && inline > maxDepth) {
 			ps.Add(NewProblem(at, "", fmt.Sprintf("at most %d levels of nesting", maxDepth), "more"))
 			return false
 		}
+		if keys.add(previous, tk) > maxKeys {
+			ps.Add(NewProblem(at, "", fmt.Sprintf("at most %d keys in one mapping", maxKeys), "more"))
+			return false
+		}
+		if nulls.add(tk) > maxNulls {
+			ps.Add(NewProblem(at, "", fmt.Sprintf("at most %d empty values", maxNulls), "more"))
+			return false
+		}
+		previous = tk
 	}
 	return ok
 }
@@ -47,6 +59,8 @@
 		return "an alias"
 	case token.TagType:
 		return "a tag"
+	case token.MappingKeyType:
+		return "an explicit key"
 	case token.MergeKeyType:
 		return "a merge key"
 	case token.DirectiveType:
