--- /dev/null
+++ b/cell/cell.go
@@ -0,0 +1,168 @@
+package cell
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"medlaryard.example/medlaryard/catalogue"
+	"medlaryard.example/medlaryard/clock"
+	"medlaryard.example/medlaryard/lease"
+	"medlaryard.example/medlaryard/peer/peerpb"
+)
+
+// Cell is this daemon's part in its cell. All state is guarded by mu. Calls to
+// the store and to peers run as tasks without mu; each applies its result
+// under mu, so a call that never returns blocks nothing else.
+type Cell struct {
+	cfg       config
+	self      Member
+	ctx       context.Context
+	cancel    context.CancelFunc
+	tasks     sync.WaitGroup
+	mu        sync.Mutex
+	closed    bool
+	changed   bool     // Listeners must be called.
+	queued    []func() // Tasks to start at the end of the critical section.
+	listeners []func()
+	leaving   bool
+	view      view
+	pending   pending
+	beat      beat
+	keeper    *keeper // Nil unless this daemon writes the cell object.
+	candidate candidate
+	poll      poll
+	config    configuration
+	watch     watch
+	release   release
+	contact   contact
+}
+
+// New returns a Cell that does nothing until Run.
+func New(self Member, opts ...Option) *Cell {
+	ctx, cancel := context.WithCancel(context.Background())
+	c := &Cell{cfg: newConfig(opts), self: self.withLeaving(false), ctx: ctx, cancel: cancel}
+	c.release.estimates = make(map[string]*peerpb.ReleasedGroup)
+	return c
+}
+
+// Run takes part in the cell until ctx or the Cell ends.
+func (c *Cell) Run(ctx context.Context) {
+	for ctx.Err() == nil && c.ctx.Err() == nil {
+		c.tick()
+		if clock.Sleep(ctx, c.cfg.clk, tickInterval) != nil {
+			return
+		}
+	}
+}
+
+// Close stops the Cell and waits for its tasks.
+func (c *Cell) Close() {
+	c.mu.Lock()
+	c.closed = true
+	c.mu.Unlock()
+	c.cancel()
+	c.tasks.Wait()
+}
+
+// Estate returns the configuration in force; false before the first one.
+func (c *Cell) Estate() (catalogue.Estate, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.config.estate, c.config.doc.Generation > 0
+}
+
+// OnChange registers f, which is called after each change of configuration,
+// membership or share. f must not block.
+func (c *Cell) OnChange(f func()) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.listeners = append(c.listeners, f)
+}
+
+// Members returns the members of the epoch, empty before the first one. The
+// result is shared and must not be changed.
+func (c *Cell) Members() []Member {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.view.m == nil {
+		return nil
+	}
+	return c.view.m.members
+}
+
+// Order returns the members to ask for g, the home first. The result is shared
+// and must not be changed.
+func (c *Cell) Order(g catalogue.Group) []Member {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.orderLocked(g)
+}
+
+// Share returns the terms on which this daemon may send to g now.
+func (c *Cell) Share(g catalogue.Group) lease.Share {
+	now := c.cfg.clk.Boot()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.view.share(now, c.self.Name(), g.ID(), c.orderLocked(g))
+}
+
+// LeaseEnd returns the reading of clock.Clock.Boot at which the answers of Share end.
+func (c *Cell) LeaseEnd() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return max(c.view.live(), c.view.minor)
+}
+
+func (c *Cell) orderLocked(g catalogue.Group) []Member {
+	if c.view.table == nil {
+		return nil
+	}
+	return c.view.table.order(g)
+}
+
+// tick starts whatever is due.
+func (c *Cell) tick() {
+	now := c.cfg.clk.Boot()
+	c.mu.Lock()
+	c.adoptPendingLocked(now)
+	c.keepLocked(now)
+	c.beatLocked(now)
+	c.electLocked(now)
+	c.pollLocked(now)
+	c.configLocked(now)
+	c.askReleaseLocked(now)
+	c.unlock()
+}
+
+// later queues a task for the end of the critical section.
+func (c *Cell) later(f func()) {
+	if c.closed {
+		return
+	}
+	c.tasks.Add(1)
+	c.queued = append(c.queued, f)
+}
+
+// unlock ends a critical section: it starts queued tasks and calls listeners.
+func (c *Cell) unlock() {
+	queued, changed, listeners := c.queued, c.changed, c.listeners
+	c.queued, c.changed = nil, false
+	c.mu.Unlock()
+	for _, f := range queued {
+		c.cfg.spawn(func() {
+			defer c.tasks.Done()
+			f()
+		})
+	}
+	if changed {
+		for _, f := range listeners {
+			f()
+		}
+	}
+}
+
+// within returns a context that ends after d or with the Cell.
+func (c *Cell) within(d time.Duration) (context.Context, context.CancelFunc) {
+	return clock.WithDeadline(c.ctx, c.cfg.clk, c.cfg.clk.Boot()+d)
+}
