--- a/cmd/medlaryard/main.go
+++ b/cmd/medlaryard/main.go
@@ -13,14 +13,12 @@
 
 func main() {
 	env := &command.Env{
-		Stdin:  os.Stdin,
-		Stdout: os.Stdout,
-		Stderr: os.Stderr,
-		Clock:  clock.System{},
-		OpenStore: func(address string) store.Store {
-			return store.NewHTTP("http://" + address)
-		},
-		Serve: daemon.Run,
+		Stdin:     os.Stdin,
+		Stdout:    os.Stdout,
+		Stderr:    os.Stderr,
+		Clock:     clock.System{},
+		OpenStore: func(address string) store.Store { return store.NewHTTP("http://" + address) },
+		Serve:     daemon.Run,
 	}
 	os.Exit(int(command.Main(context.Background(), os.Args[1:], env)))
 }
