--- a/command/command_test.go
+++ b/command/command_test.go
@@ -141,3 +141,30 @@
 	run(nil, "", "status", "--operator=127.0.0.1:1,"+address, "--key-file="+key).want(t, command.Failed, "name: entry-1\nunknown:\n  z: 1\n", "daemon at 127.0.0.1:1")
 	run(nil, "", "status", "--operator="+address).want(t, command.Failed, "", "answers 401")
 }
+
+// Guards against a summary that hides what needs attention.
+func TestStatusSummary(t *testing.T) {
+	d := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, `{
+			"daemon": {"name": "n", "state": "serving", "since": "2026-01-01T00:00:00Z", "domain": "d", "region": "r", "in_flight": 2},
+			"cell": {"cell": "main", "epoch": 3, "members": 7, "keeper": "k", "asked_generation": 5, "in_force_generation": 4, "in_force_since": "2026-01-01T00:00:00Z", "author": "a", "refused": "faulty"},
+			"services": [{"name": "s", "in_force": "generation 4", "policy": "current", "groups": [
+				{"id": "s/00/0", "share": "full", "queued": 3, "searchers": [{"name": "x", "state": "warm"}, {"name": "y", "state": "cold"}]},
+				{"id": "s/01/0", "share": "reserved", "asked": "full", "why_not": "not released"},
+				{"id": "s/02/0", "share": "none", "searchers": [{"name": "z", "state": "unknown"}]}]}],
+			"moves": [{"name": "m", "phase": "rolled back"}]}`)
+	}))
+	defer d.Close()
+	address := strings.TrimPrefix(d.URL, "http://")
+	run(nil, "", "status", "--operator="+address).want(t, command.OK, `daemon n: serving since 2026-01-01T00:00:00Z, failure domain d, region r, 2 requests in flight
+cell main: epoch 3, 7 members, keeper k, store not reachable
+catalogue: generation 4 in force since 2026-01-01T00:00:00Z by a; generation 5 is refused: faulty
+service s: generation 4, policy current, 3 groups (1 full, 1 none, 1 reserved), 3 queued, 0 in flight, searchers: 1 cold, 1 warm
+  searcher y: cold
+  group s/01/0: reserved instead of full: not released
+moves:
+- name: m
+  phase: rolled back
+`, "")
+	run(nil, "", "status", "--all", "--operator="+address).want(t, command.OK, "name: z\n", "")
+}
--- a/command/status.go
+++ b/command/status.go
@@ -16,6 +16,7 @@
 	KeyFile  string        `type:"existingfile" help:"File with the operators' key, if the daemons require one."`
 	Watch    bool          `help:"Show the status again after each interval, until interrupted."`
 	Interval time.Duration `default:"2s" help:"Pause between two readings with --watch, from 100ms."`
+	All      bool          `help:"Show everything instead of a summary and what needs attention."`
 	Timeout  time.Duration `default:"5s" help:"Longest wait for one daemon."`
 	Output   output        `enum:"text,json" default:"text" help:"Form of the output: text, or json with one line for each reading of a daemon."`
 }
@@ -79,5 +80,8 @@
 	if _, err := fmt.Fprintf(env.Stdout, "--- %s at %s\n", address, at); err != nil {
 		return err
 	}
-	return printTree(env.Stdout, body)
+	if c.All {
+		return printTree(env.Stdout, body)
+	}
+	return printStatus(env.Stdout, body)
 }
--- /dev/null
+++ b/command/statustext.go
@@ -0,0 +1,161 @@
+package command
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"slices"
+	"sort"
+	"strings"
+	"time"
+)
+
+// maxConspicuous bounds the lines about groups and searchers of one service.
+const maxConspicuous = 10
+
+// warmState is the state of a searcher that needs no attention.
+const warmState = "warm"
+
+// printStatus prints a status in few lines: the daemon, its cell, one line for
+// each service, and the groups and searchers that need attention.
+func printStatus(w io.Writer, body []byte) error {
+	s, others, err := decodeStatus(body)
+	if err != nil || s.Daemon == nil {
+		// Another form than that of this version.
+		return printTree(w, body)
+	}
+	d, c := s.Daemon, s.Cell
+	fmt.Fprintf(w, "daemon %s: %s since %s, failure domain %s, region %s, %d requests in flight\n",
+		d.Name, d.State, timeText(d.Since), d.Domain, d.Region, d.InFlight)
+	fmt.Fprintf(w, "cell %s: epoch %d, %d members, keeper %s, store %s\n", c.Cell, c.Epoch, c.Members, orNone(c.Keeper), storeText(c))
+	fmt.Fprintf(w, "catalogue: generation %d in force since %s by %s%s\n", c.InForce, timeText(c.InForceSince), orNone(c.Author), askedText(c))
+	for _, sv := range s.Services {
+		printService(w, sv)
+	}
+	return printSections(w, others)
+}
+
+// printSections prints sections that this version does not know, in order of their names.
+func printSections(w io.Writer, sections map[string]json.RawMessage) error {
+	var names []string
+	for name := range sections {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	for _, name := range names {
+		one, err := json.Marshal(map[string]json.RawMessage{name: sections[name]})
+		if err != nil {
+			return err
+		}
+		if err := printTree(w, one); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func printService(w io.Writer, s serviceReply) {
+	shares := make(map[string]int)
+	states := make(map[string]int)
+	queued, inFlight := 0, 0
+	for _, g := range s.Groups {
+		shares[g.Share]++
+		queued += g.Queued
+		inFlight += g.InFlight
+		// A daemon without a share knows nothing current about the searchers.
+		if g.Share == "full" || g.Share == "reserved" {
+			for _, r := range g.Searchers {
+				states[r.State]++
+			}
+		}
+	}
+	fmt.Fprintf(w, "service %s: %s, policy %s, %d groups (%s), %d queued, %d in flight, searchers: %s\n",
+		s.Name, s.InForce, s.Policy, len(s.Groups), counts(shares), queued, inFlight, counts(states))
+	lines := conspicuous(s)
+	for _, l := range lines[:min(len(lines), maxConspicuous)] {
+		fmt.Fprintln(w, "  "+l)
+	}
+	if n := len(lines) - maxConspicuous; n > 0 {
+		fmt.Fprintf(w, "  and %d more, shown with --all\n", n)
+	}
+}
+
+// conspicuous describes what is not as asked for, and searchers that are not warm.
+func conspicuous(s serviceReply) []string {
+	var lines []string
+	if s.WhyNot != "" {
+		lines = append(lines, "catalogue: "+s.WhyNot)
+	}
+	for _, g := range s.Groups {
+		if g.WhyNot != "" {
+			lines = append(lines, fmt.Sprintf("group %s: %s instead of %s: %s", g.ID, g.Share, g.Asked, g.WhyNot))
+		}
+		if g.Share != "full" && g.Share != "reserved" {
+			continue
+		}
+		for _, r := range g.Searchers {
+			if r.State != warmState {
+				lines = append(lines, fmt.Sprintf("searcher %s: %s", r.Name, r.State))
+			}
+		}
+	}
+	return lines
+}
+
+// counts lists how often each word occurs, most frequent first.
+func counts(n map[string]int) string {
+	if len(n) == 0 {
+		return "none"
+	}
+	var words []string
+	for word := range n {
+		words = append(words, word)
+	}
+	slices.SortFunc(words, func(a, b string) int {
+		if n[a] != n[b] {
+			return n[b] - n[a]
+		}
+		return strings.Compare(a, b)
+	})
+	for i, word := range words {
+		words[i] = fmt.Sprintf("%d %s", n[word], word)
+	}
+	return strings.Join(words, ", ")
+}
+
+func timeText(t time.Time) string {
+	if t.IsZero() {
+		return "never"
+	}
+	return t.UTC().Format(time.RFC3339)
+}
+
+func orNone(s string) string {
+	if s == "" {
+		return "none"
+	}
+	return s
+}
+
+func storeText(c cellReply) string {
+	switch {
+	case c.Standstill:
+		return "down, standstill"
+	case c.StoreReachable:
+		return "reachable"
+	default:
+		return "not reachable"
+	}
+}
+
+// askedText states a newer generation that is not in force.
+func askedText(c cellReply) string {
+	switch {
+	case c.Asked <= c.InForce:
+		return ""
+	case c.Refused != "":
+		return fmt.Sprintf("; generation %d is refused: %s", c.Asked, c.Refused)
+	default:
+		return fmt.Sprintf("; generation %d is not in force yet", c.Asked)
+	}
+}
