--- a/command/statustext.go
+++ b/command/statustext.go
@@ -13,8 +13,9 @@
 // maxConspicuous bounds the lines about groups and searchers of one service.
 const maxConspicuous = 10
 
-// warmState is the state of a searcher that needs no attention.
-const warmState = "warm"
+// quietStates are the states of a searcher that need no attention: warm, not
+// used yet, and in a failure domain that operators have taken out of service.
+var quietStates = []string{"warm", "new", "out"}
 
 // printStatus prints a status in few lines: the daemon, its cell, one line for
 // each service, and the groups and searchers that need attention.
@@ -80,7 +81,7 @@
 	}
 }
 
-// conspicuous describes what is not as asked for, and searchers that are not warm.
+// conspicuous describes what is not as asked for, and searchers that need attention.
 func conspicuous(s serviceReply) []string {
 	var lines []string
 	if s.WhyNot != "" {
@@ -94,7 +95,7 @@
 			continue
 		}
 		for _, r := range g.Searchers {
-			if r.State != warmState {
+			if !slices.Contains(quietStates, r.State) {
 				lines = append(lines, fmt.Sprintf("searcher %s: %s", r.Name, r.State))
 			}
 		}
