--- a/command/apply.go
+++ b/command/apply.go
@@ -6,6 +6,8 @@
 	"os"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"medlaryard.example/medlaryard/catalogue/evaluate"
 	"medlaryard.example/medlaryard/catalogue/load"
 	"medlaryard.example/medlaryard/catalogue/publish"
@@ -41,7 +43,7 @@
 	p := publish.New(env.OpenStore(c.Store), publish.WithClock(env.Clock))
 	now, err := p.Current(ctx)
 	if err != nil {
-		return err
+		return eris.Wrap(err, "nothing was changed")
 	}
 	based := now.Generation()
 	if c.Based != nil {
--- a/command/command_test.go
+++ b/command/command_test.go
@@ -9,8 +9,11 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"testing"
+	"time"
 
+	"medlaryard.example/medlaryard/clock"
 	"medlaryard.example/medlaryard/clock/clocktest"
 	"medlaryard.example/medlaryard/command"
 	"medlaryard.example/medlaryard/settings"
@@ -107,6 +110,8 @@
 	run(s, "", "apply", "../examples/tamasha.yaml", "../examples/haneul.yaml", "--store=x", "--based=1").want(t, command.OK, "applied: generation 2\n", "")
 	run(s, "", "check", "../examples/tamasha.yaml", "../examples/haneul.yaml", "--store=x").want(t, command.OK, "in force: generation 2", "")
 	run(s, "a: [", "apply", "-", "--store=x").want(t, command.Faulty, "", "stdin:")
+	s.down = true
+	run(s, "", "apply", small, "--store=x").want(t, command.Failed, "", "nothing was changed: read object catalogue/current")
 	if s.version != 2 {
 		t.Errorf("the store saw %d writes, want 2", s.version)
 	}
@@ -168,3 +173,32 @@
 `, "")
 	run(nil, "", "status", "--all", "--operator="+address).want(t, command.OK, "name: z\n", "")
 }
+
+// instant is a clock whose timers fire at once.
+type instant struct{ *clocktest.Manual }
+
+func (c instant) NewTimer(time.Duration) clock.Timer { return c.Manual.NewTimer(0) }
+
+// Guards against a watch that ends when a daemon is restarted, or that goes on
+// after an interrupt.
+func TestStatusWatch(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	var readings atomic.Int32
+	d := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		switch readings.Add(1) {
+		case 2:
+			w.WriteHeader(http.StatusServiceUnavailable)
+		case 3:
+			defer cancel()
+		}
+		_, _ = io.WriteString(w, `{"reading": "x"}`)
+	}))
+	defer d.Close()
+	var out, stderr bytes.Buffer
+	env := &command.Env{Stdout: &out, Stderr: &stderr, Clock: instant{clocktest.New()}}
+	code := command.Main(ctx, []string{"status", "--watch", "--output=json", "--operator=" + strings.TrimPrefix(d.URL, "http://")}, env)
+	if code != command.OK || !strings.HasPrefix(out.String(), `{"reading":"x"}`) || !strings.Contains(stderr.String(), "answers 503") {
+		t.Errorf("code %d, output %q, standard error %q", code, out.String(), stderr.String())
+	}
+}
