--- a/command/code.go
+++ b/command/code.go
@@ -37,6 +37,8 @@
 type fault struct {
 	code Code
 	err  error
+	// again means that nothing has run and that the request may be repeated.
+	again bool
 }
 
 func (f *fault) Error() string { return f.err.Error() }
--- a/command/command_test.go
+++ b/command/command_test.go
@@ -57,7 +57,7 @@
 func run(s store.Store, stdin string, args ...string) result {
 	var out, stderr bytes.Buffer
 	env := &command.Env{
-		Stdin: strings.NewReader(stdin), Stdout: &out, Stderr: &stderr, Clock: clocktest.New(),
+		Stdin: strings.NewReader(stdin), Stdout: &out, Stderr: &stderr, Clock: instant{clocktest.New()},
 		OpenStore: func(string) store.Store { return s },
 		Serve:     func(context.Context, settings.Settings) error { return nil },
 	}
--- a/command/query.go
+++ b/command/query.go
@@ -13,11 +13,15 @@
 	"github.com/rotisserie/eris"
 
 	"medlaryard.example/medlaryard/catalogue/load"
+	"medlaryard.example/medlaryard/clock"
 )
 
 // answerMargin is added to the deadline for the answer's way back.
 const answerMargin = 2 * time.Second
 
+// retryPause is the time between two attempts.
+const retryPause = 200 * time.Millisecond
+
 // maxBody is the longest body that the command reads, in bytes.
 const maxBody = 1 << 20
 
@@ -32,6 +36,7 @@
 	Limit    int           `default:"10" help:"Highest number of hits."`
 	ID       string        `help:"Identifier of the request. The default is random."`
 	Once     bool          `name:"run" help:"Send a non-idempotent request, which runs at most once."`
+	RetryFor time.Duration `help:"Time for which a request is repeated while no daemon is reached or the refusal says that it did not run and may be repeated. Repetitions of --run append -2, -3 and so on to the identifier, since a refused one is spent."`
 	Ticket   string        `placeholder:"INCARNATION/MS" help:"Ticket of an earlier --run with the same --id, to learn its outcome without a second run."`
 	Partial  bool          `name:"allow-partial" help:"Exit with 0 when the answer is partial."`
 	Output   output        `enum:"text,json" default:"text" help:"Form of the output: text with score, shard, identifier and data of a hit on each line, or json."`
@@ -50,6 +55,9 @@
 	if c.Ticket != "" && (!c.Once || c.ID == "") {
 		return errors.New("--ticket: needs --run and the --id of the earlier request")
 	}
+	if c.Ticket != "" && c.RetryFor > 0 {
+		return errors.New("--ticket: not together with --retry-for")
+	}
 	return nil
 }
 
@@ -62,15 +70,33 @@
 	if c.ID == "" {
 		c.ID = rand.Text()
 	}
+	end := env.Clock.Boot() + c.RetryFor
+	for id, n := c.ID, 2; ; n++ {
+		err := c.attempt(env, id, body)
+		var f *fault
+		if !errors.As(err, &f) || !f.again || env.Clock.Boot() >= end {
+			return err
+		}
+		if clock.Sleep(env.ctx, env.Clock, retryPause) != nil {
+			return err
+		}
+		if c.Once {
+			id = fmt.Sprintf("%s-%d", c.ID, n)
+		}
+	}
+}
+
+// attempt sends the request once.
+func (c *queryCommand) attempt(env *Env, id string, body json.RawMessage) error {
 	answer, _, err := askAddresses(env.ctx, c.Caller)
-	if err != nil {
-		return err
+	if err == nil && len(answer.Addresses) == 0 {
+		err = eris.New("the daemon names no addresses")
 	}
-	if len(answer.Addresses) == 0 {
-		return eris.New("the daemon names no addresses")
+	if err != nil {
+		return &fault{code: Failed, again: true, err: err}
 	}
 	req := queryRequest{
-		ID: c.ID, Owner: c.Owner, Class: c.Class, Service: c.Service, Route: c.Route,
+		ID: id, Owner: c.Owner, Class: c.Class, Service: c.Service, Route: c.Route,
 		DeadlineMS: c.Deadline.Milliseconds(), Body: body,
 	}
 	to := answer.Addresses[mathrand.IntN(len(answer.Addresses))]
--- a/command/query_test.go
+++ b/command/query_test.go
@@ -23,12 +23,17 @@
 	mu   sync.Mutex // The handler may still run when the client has seen its connection break.
 	cut  bool
 	last map[string]any
+	// named is the address that the daemon names, if not its own.
+	named string
+	// refusals is the number of requests to refuse as not run.
+	refusals int
 }
 
-func (d *daemon) setCut(cut bool) {
+// change sets fields between two requests.
+func (d *daemon) change(f func()) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.cut = cut
+	f()
 }
 
 // received returns the last request with its path.
@@ -48,18 +53,28 @@
 func (d *daemon) address() string { return strings.TrimPrefix(d.URL, "http://") }
 
 func (d *daemon) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if r.URL.Path == "/v1/addresses" {
-		fmt.Fprintf(w, `{"addresses":[{"address":%q,"incarnation":%q,"domain":"d"}],"keep_ms":5000,"issued_ms":17}`, d.address(), d.incarnation)
-		return
-	}
 	body, _ := io.ReadAll(r.Body)
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if r.URL.Path == "/v1/addresses" {
+		address := d.named
+		if address == "" {
+			address = d.address()
+		}
+		fmt.Fprintf(w, `{"addresses":[{"address":%q,"incarnation":%q,"domain":"d"}],"keep_ms":5000,"issued_ms":17}`, address, d.incarnation)
+		return
+	}
 	d.last = map[string]any{"path": r.URL.Path}
 	_ = json.Unmarshal(body, &d.last)
 	if d.cut {
 		panic(http.ErrAbortHandler)
 	}
+	if d.refusals > 0 {
+		d.refusals--
+		w.WriteHeader(http.StatusServiceUnavailable)
+		_, _ = io.WriteString(w, `{"kind":"not_home","ran":"no","retry":"else"}`)
+		return
+	}
 	w.WriteHeader(d.status)
 	_, _ = io.WriteString(w, d.reply)
 }
@@ -114,13 +129,17 @@
 	if got["path"] != "/v1/run" || got["id"] != "r" || ticket["incarnation"] != "i1" || ticket["issued_ms"] != 17.0 {
 		t.Errorf("the daemon received %v", got)
 	}
-	d.setCut(true)
+	d.change(func() { d.cut = true })
 	d.query("--run", "--id=r", "x").want(t, command.OutcomeUnknown, "", "repeat the command with --id r --ticket i1/17")
-	d.setCut(false)
+	d.change(func() { d.cut = false })
 	d.query("--run", "--id=r", "--ticket=i0/9", "x").want(t, command.OK, "", "")
 	if ticket, _ := d.received()["ticket"].(map[string]any); ticket["incarnation"] != "i0" || ticket["issued_ms"] != 9.0 {
 		t.Errorf("the resend carried ticket %v", ticket)
 	}
+	d.change(func() { d.named = "127.0.0.1:1" })
+	d.query("--run", "--id=r", "x").want(t, command.Refused, "", "not run: the request was not sent")
+	d.query("--run", "--id=r", "--ticket=i0/9", "x").want(t, command.OutcomeUnknown, "", "--id r --ticket i0/9")
+	d.change(func() { d.named = "" })
 	d.query("--run", "--id=r", "--ticket=i0", "x").want(t, command.Usage, "", "expected INCARNATION/MS")
 }
 
@@ -130,3 +149,18 @@
 	run(nil, "", "addresses", "--caller=127.0.0.1:1,"+d.address()).want(t, command.OK, d.address()+" d i1\n", "valid for 5s\n")
 	run(nil, "", "addresses", "--caller=127.0.0.1:1").want(t, command.Failed, "", "127.0.0.1:1")
 }
+
+// Guards against a repetition with an identifier that is spent, and against
+// repeating a request that may have run.
+func TestQueryRetries(t *testing.T) {
+	d := newDaemon(t)
+	d.reply, d.refusals = `{"id":"r","outcome":"ok","body":1}`, 2
+	d.query("--run", "--id=r", "--retry-for=1m", "x").want(t, command.OK, "1\n", "")
+	if id := d.received()["id"]; id != "r-3" {
+		t.Errorf("the last attempt had identifier %v", id)
+	}
+	d.change(func() { d.refusals = 1 })
+	d.query("--run", "--id=r", "x").want(t, command.Refused, "", "refused: not_home")
+	d.change(func() { d.status, d.reply = 504, `{"kind":"deadline","ran":"unknown","retry":"confirm"}` })
+	d.query("--run", "--id=r", "--retry-for=1m", "x").want(t, command.OutcomeUnknown, "", "--id r --ticket i1/17")
+}
--- a/command/refused.go
+++ b/command/refused.go
@@ -28,5 +28,6 @@
 	if body.Ran == string(refusal.Unknown) {
 		code = OutcomeUnknown
 	}
-	return &fault{code: code, err: eris.Errorf("refused: %s (ran: %s, retry: %s): %s", body.Kind, body.Ran, body.Retry, body.Detail)}
+	again := body.Ran == string(refusal.NotRun) && body.Retry != string(refusal.RetryNever)
+	return &fault{code: code, again: again, err: eris.Errorf("refused: %s (ran: %s, retry: %s): %s", body.Kind, body.Ran, body.Retry, body.Detail)}
 }
--- a/command/runonce.go
+++ b/command/runonce.go
@@ -34,8 +34,8 @@
 	req.Ticket = &t
 	r, err := client{address: to.Address, timeout: c.Deadline + answerMargin}.post(env.ctx, "/v1/run", req)
 	switch {
-	case err != nil && notSent(err):
-		return &fault{code: Refused, err: eris.Wrap(err, "not run: the request was not sent")}
+	case err != nil && notSent(err) && c.Ticket == "":
+		return &fault{code: Refused, again: true, err: eris.Wrap(err, "not run: the request was not sent")}
 	case err != nil:
 		err = &fault{code: OutcomeUnknown, err: err}
 	case r.status != http.StatusOK:
