--- a/command/command_test.go
+++ b/command/command_test.go
@@ -9,8 +9,11 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"testing"
+	"time"
 
+	"medlaryard.example/medlaryard/clock"
 	"medlaryard.example/medlaryard/clock/clocktest"
 	"medlaryard.example/medlaryard/command"
 	"medlaryard.example/medlaryard/settings"
@@ -54,7 +57,7 @@
 func run(s store.Store, stdin string, args ...string) result {
 	var out, stderr bytes.Buffer
 	env := &command.Env{
-		Stdin: strings.NewReader(stdin), Stdout: &out, Stderr: &stderr, Clock: clocktest.New(),
+		Stdin: strings.NewReader(stdin), Stdout: &out, Stderr: &stderr, Clock: instant{clocktest.New()},
 		OpenStore: func(string) store.Store { return s },
 		Serve:     func(context.Context, settings.Settings) error { return nil },
 	}
@@ -107,6 +110,8 @@
 	run(s, "", "apply", "../examples/tamasha.yaml", "../examples/haneul.yaml", "--store=x", "--based=1").want(t, command.OK, "applied: generation 2\n", "")
 	run(s, "", "check", "../examples/tamasha.yaml", "../examples/haneul.yaml", "--store=x").want(t, command.OK, "in force: generation 2", "")
 	run(s, "a: [", "apply", "-", "--store=x").want(t, command.Faulty, "", "stdin:")
+	s.down = true
+	run(s, "", "apply", small, "--store=x").want(t, command.Failed, "", "nothing was changed: read object catalogue/current")
 	if s.version != 2 {
 		t.Errorf("the store saw %d writes, want 2", s.version)
 	}
@@ -141,3 +146,59 @@
 	run(nil, "", "status", "--operator=127.0.0.1:1,"+address, "--key-file="+key).want(t, command.Failed, "name: entry-1\nunknown:\n  z: 1\n", "daemon at 127.0.0.1:1")
 	run(nil, "", "status", "--operator="+address).want(t, command.Failed, "", "answers 401")
 }
+
+// Guards against a summary that hides what needs attention.
+func TestStatusSummary(t *testing.T) {
+	d := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, `{
+			"daemon": {"name": "n", "state": "serving", "since": "2026-01-01T00:00:00Z", "domain": "d", "region": "r", "in_flight": 2},
+			"cell": {"cell": "main", "epoch": 3, "members": 7, "keeper": "k", "asked_generation": 5, "in_force_generation": 4, "in_force_since": "2026-01-01T00:00:00Z", "author": "a", "refused": "faulty"},
+			"services": [{"name": "s", "in_force": "generation 4", "policy": "current", "groups": [
+				{"id": "s/00/0", "share": "full", "queued": 3, "searchers": [{"name": "x", "state": "warm"}, {"name": "y", "state": "cold"}]},
+				{"id": "s/01/0", "share": "reserved", "asked": "full", "why_not": "not released"},
+				{"id": "s/02/0", "share": "none", "searchers": [{"name": "z", "state": "unknown"}]}]}],
+			"moves": [{"name": "m", "phase": "rolled back"}]}`)
+	}))
+	defer d.Close()
+	address := strings.TrimPrefix(d.URL, "http://")
+	run(nil, "", "status", "--operator="+address).want(t, command.OK, `daemon n: serving since 2026-01-01T00:00:00Z, failure domain d, region r, 2 requests in flight
+cell main: epoch 3, 7 members, keeper k, store not reachable
+catalogue: generation 4 in force since 2026-01-01T00:00:00Z by a; generation 5 is refused: faulty
+service s: generation 4, policy current, 3 groups (1 full, 1 none, 1 reserved), 3 queued, 0 in flight, searchers: 1 cold, 1 warm
+  searcher y: cold
+  group s/01/0: reserved instead of full: not released
+moves:
+- name: m
+  phase: rolled back
+`, "")
+	run(nil, "", "status", "--all", "--operator="+address).want(t, command.OK, "name: z\n", "")
+}
+
+// instant is a clock whose timers fire at once.
+type instant struct{ *clocktest.Manual }
+
+func (c instant) NewTimer(time.Duration) clock.Timer { return c.Manual.NewTimer(0) }
+
+// Guards against a watch that ends when a daemon is restarted, or that goes on
+// after an interrupt.
+func TestStatusWatch(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	var readings atomic.Int32
+	d := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		switch readings.Add(1) {
+		case 2:
+			w.WriteHeader(http.StatusServiceUnavailable)
+		case 3:
+			defer cancel()
+		}
+		_, _ = io.WriteString(w, `{"reading": "x"}`)
+	}))
+	defer d.Close()
+	var out, stderr bytes.Buffer
+	env := &command.Env{Stdout: &out, Stderr: &stderr, Clock: instant{clocktest.New()}}
+	code := command.Main(ctx, []string{"status", "--watch", "--output=json", "--operator=" + strings.TrimPrefix(d.URL, "http://")}, env)
+	if code != command.OK || !strings.HasPrefix(out.String(), `{"reading":"x"}`) || !strings.Contains(stderr.String(), "answers 503") {
+		t.Errorf("code %d, output %q, standard error %q", code, out.String(), stderr.String())
+	}
+}
