--- a/cell/adopt.go
+++ b/cell/adopt.go
@@ -36,7 +36,7 @@
 	if !m.newer(c.view.m) {
 		return
 	}
-	if v := c.view.m; v != nil && (m.epoch-v.epoch > maxStep || m.term-v.term > maxStep) {
+	if m.farAhead(c.view.m) {
 		meter.Count("cell.refused.membership", 1)
 		log.Warn().Uint64("epoch", m.epoch).Uint64("term", m.term).Msg("refused a membership that is too far ahead")
 		return
--- a/cell/elect.go
+++ b/cell/elect.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"github.com/rs/zerolog/log"
 
 	"medlaryard.example/medlaryard/meter"
@@ -28,17 +29,15 @@
 	if c.keeper != nil || c.leaving || x.running {
 		return
 	}
-	rank := c.rankLocked()
-	if !c.beat.unheard(now) {
-		if !(c.beat.refused && rank == 0) {
-			x.looked = false
-			x.next = min(x.next, now)
-			return
-		}
+	if !c.beat.unheard(now) && !(c.beat.refused && c.rankLocked() == 0) {
+		x.looked = false
+		x.next = min(x.next, now)
+		return
 	}
 	if now < x.next {
 		return
 	}
+	rank := c.rankLocked()
 	x.running = true
 	x.next = now + candidateInterval
 	if rank >= firstCandidates && c.view.m != nil {
@@ -86,7 +85,11 @@
 	version := store.Absent
 	if err == nil {
 		version = obj.Version()
-		if o, m, err = decodeObject(obj.Value(), c.cfg.cell); err != nil {
+		o, m, err = decodeObject(obj.Value(), c.cfg.cell)
+		if err == nil && m.farAhead(c.view.m) {
+			err = eris.Errorf("epoch %d is too far ahead of %d", m.epoch, c.view.m.epoch)
+		}
+		if err != nil {
 			meter.Count("cell.refused.object", 1)
 			log.Warn().Err(err).Msg("refused the cell object")
 			o, m = nil, nil
--- a/cell/keeper.go
+++ b/cell/keeper.go
@@ -178,16 +178,14 @@
 // gone returns whether the VM list has dropped the VM of a member. A VM that
 // the list has not shown to this keeper may be too new for it.
 func (c *Cell) gone() func(Member) bool {
-	names, known := c.cfg.vms()
-	if !known {
-		return func(Member) bool { return false }
-	}
-	for _, m := range c.keeper.cur.members {
-		if names[m.Name()] {
-			c.keeper.listed[m.Incarnation()] = true
+	seen := c.keeper.listed
+	return func(m Member) bool {
+		listed, known := c.cfg.vms(m.Name())
+		if listed {
+			seen[m.Incarnation()] = true
 		}
+		return known && !listed && seen[m.Incarnation()]
 	}
-	return func(m Member) bool { return c.keeper.listed[m.Incarnation()] && !names[m.Name()] }
 }
 
 // keepLocked does the keeper's periodic work.
@@ -205,8 +203,12 @@
 		return
 	}
 	if k.grants(now) {
+		gone := c.gone()
+		for _, m := range k.cur.members {
+			gone(m) // Notes which VMs the list shows.
+		}
 		if !k.settled {
-			k.settle(now, c.gone())
+			k.settle(now, gone)
 		}
 		if next := k.plan(now, c.config.digest(), c.config.doc.Generation); next != nil {
 			c.writeLocked(now, next, false)
--- a/cell/limits.go
+++ b/cell/limits.go
@@ -41,8 +41,10 @@
 	storeTime = 2 * time.Second
 	// watchTime bounds a watch, so that one that went silent is renewed.
 	watchTime = 30 * time.Second
-	// watchRetry is the pause after a failed watch.
-	watchRetry = 500 * time.Millisecond
+	// watchRetry is the pause after a failed watch; it doubles with each failure
+	// up to watchRetryMax, which leaves a second of the 4 s for spreading.
+	watchRetry    = 500 * time.Millisecond
+	watchRetryMax = 3 * time.Second
 	// checkInterval is the time between direct reads of the configuration.
 	checkInterval = time.Minute
 	// earlyCheckInterval replaces checkInterval without a configuration or a keeper.
--- a/cell/membership.go
+++ b/cell/membership.go
@@ -23,6 +23,12 @@
 	return o == nil || m.epoch > o.epoch && m.term >= o.term
 }
 
+// farAhead reports whether m is further ahead of o, which may be nil, than
+// epochs can have passed.
+func (m *membership) farAhead(o *membership) bool {
+	return m.newer(o) && o != nil && (m.epoch-o.epoch > maxStep || m.term-o.term > maxStep)
+}
+
 // member finds a member by incarnation.
 func (m *membership) member(incarnation string) (Member, bool) {
 	return findMember(m.members, incarnation)
--- a/cell/option.go
+++ b/cell/option.go
@@ -20,7 +20,7 @@
 	calls   Calls
 	parse   func(name, text string, generation uint64) (catalogue.Estate, error)
 	seeds   []string
-	vms     func() (names map[string]bool, known bool)
+	vms     func(name string) (listed, known bool)
 	release func(ctx context.Context, groups []string) []*peerpb.ReleasedGroup
 	adopt   func([]*peerpb.ReleasedGroup)
 	groups  func(catalogue.Estate) []catalogue.Group
@@ -32,7 +32,7 @@
 	c := config{
 		clk:     clock.System{},
 		cell:    "main",
-		vms:     func() (map[string]bool, bool) { return nil, false },
+		vms:     func(string) (bool, bool) { return false, false },
 		release: func(context.Context, []string) []*peerpb.ReleasedGroup { return nil },
 		adopt:   func([]*peerpb.ReleasedGroup) {},
 		groups:  allGroups,
@@ -81,9 +81,9 @@
 // membership when the store does not answer.
 func WithSeeds(addresses []string) Option { return func(c *config) { c.seeds = addresses } }
 
-// WithVMs sets the lookup in the VM list: the member names whose VMs it lists.
-// known is false when no list has been read. It must not block or call the Cell.
-func WithVMs(vms func() (names map[string]bool, known bool)) Option {
+// WithVMs sets the lookup in the VM list by member name. known is false when no
+// list has been read. It must not block or call the Cell.
+func WithVMs(vms func(name string) (listed, known bool)) Option {
 	return func(c *config) { c.vms = vms }
 }
 
--- a/cell/sync.go
+++ b/cell/sync.go
@@ -29,7 +29,7 @@
 
 // take installs a configuration from a peer; nil is none.
 func (c *Cell) take(w *peerpb.Catalogue, origin string) {
-	if w == nil {
+	if w == nil || w.Generation < c.Generation() {
 		return
 	}
 	d, err := documentOf(w)
--- a/cell/watch.go
+++ b/cell/watch.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"context"
 	"errors"
 	"slices"
 	"time"
@@ -13,6 +14,7 @@
 // watch is how this daemon learns of configurations from the store.
 type watch struct {
 	next    time.Duration // Of the next watch after a failed one.
+	pause   time.Duration // After the next failure.
 	running bool
 	version uint64 // Of the object last seen.
 	check   time.Duration
@@ -88,8 +90,12 @@
 	now := c.cfg.clk.Boot()
 	c.mu.Lock()
 	c.watch.running = false
-	if err != nil {
-		c.watch.next = now + watchRetry
+	switch {
+	case err == nil, errors.Is(err, context.Canceled), errors.Is(err, context.DeadlineExceeded):
+		c.watch.pause = 0
+	default:
+		c.watch.pause = min(max(watchRetry, 2*c.watch.pause), watchRetryMax)
+		c.watch.next = now + c.watch.pause
 	}
 	c.unlock()
 }
