cell: shares that homes have must match the lease

LeaseEnd covers the time in which a minority is reachable, and a lease that returns after a pause. LeaseEnd is now in the past until the daemon reports the shares of the current key as applied. Ruled out: stopping at each change of epoch, which would refuse requests at each restart of any member.

--- a/cell/adopt.go
+++ b/cell/adopt.go
@@ -76,6 +76,9 @@
 	self := c.self.Name()
 	before := c.view.owned(self)
 	kept := c.view.fullGroups(now, self)
+	if now >= c.view.live() {
+		c.view.stamp++
+	}
 	c.pending.m = nil
 	c.view.m, c.view.settled, c.view.recorded = m, false, false
 	c.view.kept, c.view.granted = kept, make(map[string]bool)
@@ -84,6 +87,7 @@
 	c.fillTableLocked()
 	if _, ok := m.member(c.self.Incarnation()); !ok {
 		c.view.lease, c.view.still, c.view.minor, c.view.kept = 0, 0, 0, nil
+		c.view.stamp++
 	}
 	c.stopLocked(missing(before, c.view.owned(self)))
 	c.changed = true
--- a/cell/cell.go
+++ b/cell/cell.go
@@ -25,6 +25,9 @@
 	changed   bool     // Listeners must be called.
 	queued    []func() // Tasks to start at the end of the critical section.
 	listeners []func()
+	applies   bool   // The daemon calls Applied.
+	applied   uint64 // Key of the shares that the homes have.
+	noted     uint64 // Key at the last tick.
 	leaving   bool
 	view      view
 	pending   pending
@@ -107,11 +110,36 @@
 	return c.view.share(now, c.self.Name(), g.ID(), c.orderLocked(g))
 }
 
-// LeaseEnd returns the reading of clock.Clock.Boot at which the answers of Share end.
+// LeaseEnd returns the reading of clock.Clock.Boot at which the shares that were
+// applied last end; a home checks it before each send. It is in the past while
+// newer and smaller shares are not applied.
 func (c *Cell) LeaseEnd() time.Duration {
+	now := c.cfg.clk.Boot()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.applies && c.applied != c.view.key(now) {
+		return 0
+	}
+	return c.view.end(now)
+}
+
+// ShareKey identifies the shares in force. Read it before Share, and pass it to
+// Applied once the homes have these shares.
+func (c *Cell) ShareKey() uint64 {
+	now := c.cfg.clk.Boot()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.view.key(now)
+}
+
+// Applied reports that the homes have the shares that were read after ShareKey
+// returned key. A daemon that wakes from a pause must not use the shares it had
+// before with the lease that it gets now. Without any call, LeaseEnd does not
+// wait for one.
+func (c *Cell) Applied(key uint64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return max(c.view.live(), c.view.minor)
+	c.applies, c.applied = true, key
 }
 
 func (c *Cell) orderLocked(g catalogue.Group) []Member {
@@ -132,6 +160,9 @@
 	c.pollLocked(now)
 	c.configLocked(now)
 	c.askReleaseLocked(now)
+	if key := c.view.key(now); key != c.noted {
+		c.noted, c.changed = key, true
+	}
 	c.unlock()
 }
 
--- a/cell/fleet_test.go
+++ b/cell/fleet_test.go
@@ -35,9 +35,11 @@
 	pausedUntil time.Duration
 	dead        bool
 	storeCut    bool
-	drain       time.Duration   // Of the homes that it gives up.
-	draining    map[string]bool // Groups had in full whose requests are still in flight.
-	sends       time.Duration   // Latest deadline of a request sent so far.
+	drain       time.Duration          // Of the homes that it gives up.
+	draining    map[string]bool        // Groups had in full whose requests are still in flight.
+	sends       time.Duration          // Latest deadline of a request sent so far.
+	applied     map[string]lease.Share // What the homes know of the shares.
+	applying    bool
 }
 
 const domains = 3
@@ -59,7 +61,7 @@
 func (f *fleet) boot(pos int) *node {
 	f.restarts++
 	name := fmt.Sprintf("vm%d", pos)
-	n := &node{f: f, pos: pos, drain: f.between(0, 300*time.Millisecond), draining: make(map[string]bool)}
+	n := &node{f: f, pos: pos, drain: f.between(0, 300*time.Millisecond), draining: make(map[string]bool), applied: make(map[string]lease.Share)}
 	var seeds []string
 	for i := range f.nodes {
 		seeds = append(seeds, fmt.Sprintf("vm%d:1", i))
@@ -76,6 +78,7 @@
 		withSpawn(func(g func()) { f.start(n, 0, g) }),
 		withToken(func() string { tokens++; return fmt.Sprintf("%s-%d", id, tokens) }))
 	f.nodes[pos] = n
+	n.cell.OnChange(n.changed)
 	f.listed[name] = true
 	f.start(n, f.between(0, tickInterval), func() {
 		for !n.dead {
@@ -86,8 +89,25 @@
 	return n
 }
 
+// changed applies the shares to the homes a little later, as a daemon does.
+func (n *node) changed() {
+	if n.applying {
+		return
+	}
+	n.applying = true
+	n.f.start(n, n.f.between(0, 100*time.Millisecond), func() {
+		n.applying = false
+		key := n.cell.ShareKey()
+		for _, id := range n.f.ids {
+			n.applied[id] = n.share(id, n.cell.cfg.clk.Boot())
+		}
+		n.cell.Applied(key)
+	})
+}
+
 func (n *node) release(_ context.Context, groups []string) []*peerpb.ReleasedGroup {
 	for _, g := range groups {
+		n.applied[g] = lease.None
 		if n.cell.view.kept[g] {
 			n.draining[g] = true
 		}
@@ -156,12 +176,12 @@
 	for _, n := range f.nodes {
 		v, now := &n.cell.view, n.cell.cfg.clk.Boot()
 		n.sends = max(n.sends, v.live())
-		if n.dead || now >= n.sends {
+		if n.dead || now >= max(n.sends, n.cell.LeaseEnd()) {
 			continue
 		}
 		for g, id := range f.ids {
-			switch share := n.share(id, now); {
-			case share == lease.Full || n.draining[id]:
+			switch share := n.may(id, now); {
+			case share == lease.Full || n.draining[id] && now < n.sends:
 				full[g]++
 			case share == lease.Reserved:
 				reserved[g]++
@@ -183,13 +203,21 @@
 		if v.m == nil {
 			continue
 		}
-		f.t.Logf("vm%d dead=%v share=%v term=%d epoch=%d base=%d settled=%v kept=%v granted=%v keeper=%v", n.pos, n.dead,
-			n.share(id, n.cell.cfg.clk.Boot()), v.m.term, v.m.epoch, v.m.baseEpoch, v.settled, v.kept[id], v.granted[id], n.cell.keeper != nil)
+		f.t.Logf("vm%d dead=%v share=%v may=%v term=%d epoch=%d base=%d settled=%v kept=%v granted=%v keeper=%v", n.pos, n.dead,
+			n.share(id, n.cell.cfg.clk.Boot()), n.may(id, n.cell.cfg.clk.Boot()), v.m.term, v.m.epoch, v.m.baseEpoch, v.settled, v.kept[id], v.granted[id], n.cell.keeper != nil)
 		f.t.Logf("  lease %v still %v sends %v draining %v released %d", v.lease-n.cell.cfg.clk.Boot(), v.still-n.cell.cfg.clk.Boot(), n.sends-n.cell.cfg.clk.Boot(), n.draining[id], v.released)
 	}
 	f.t.Fatalf("at %v group %s has %d full homes and %d reserved ones", f.clk.Boot()-time.Hour, id, full, reserved)
 }
 
+// may returns the share with which the homes of n would send now.
+func (n *node) may(id string, now time.Duration) lease.Share {
+	if now >= n.cell.LeaseEnd() {
+		return lease.None
+	}
+	return n.applied[id]
+}
+
 // share reads the view as Cell.Share does for a group of the ownership table.
 func (n *node) share(id string, now time.Duration) lease.Share {
 	v := &n.cell.view
--- a/cell/view.go
+++ b/cell/view.go
@@ -20,11 +20,30 @@
 	lease    time.Duration   // End of the lease that the keeper granted.
 	still    time.Duration   // End of the lease that a majority gave.
 	minor    time.Duration   // End of the right to act while a minority is reachable.
+	stamp    uint64          // Grows when shares got smaller while no lease was held.
 }
 
 // live is the end of the time in which this daemon may be home.
 func (v *view) live() time.Duration { return max(v.lease, v.still) }
 
+// key identifies the shares that are in force at now. Homes that were given the
+// shares of another key may hold too much.
+func (v *view) key(now time.Duration) uint64 {
+	key := 2 * v.stamp
+	if now >= v.live() && now < v.minor {
+		key++
+	}
+	return key
+}
+
+// end is when the shares in force at now end.
+func (v *view) end(now time.Duration) time.Duration {
+	if now < v.live() {
+		return v.live()
+	}
+	return v.minor
+}
+
 // full reports whether this daemon is the only home of a group that it owns.
 func (v *view) full(id string) bool { return v.settled || v.kept[id] || v.granted[id] }
 
