--- /dev/null
+++ b/cell/tcp_test.go
@@ -0,0 +1,113 @@
+package cell
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"medlaryard.example/medlaryard/clock"
+	"medlaryard.example/medlaryard/lease"
+	"medlaryard.example/medlaryard/peer"
+	"medlaryard.example/medlaryard/standin/objects"
+	"medlaryard.example/medlaryard/store"
+)
+
+// Guards against parts that work only with the fakes: three cells on the system
+// clock and real connections agree, one leaves, and all close with their tasks.
+func TestOverConnections(t *testing.T) {
+	st := objects.New()
+	value, err := catalogueText(1, "", 0).Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := st.Put(context.Background(), CatalogueKey, value, store.Absent); err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	var cells []*Cell
+	var running sync.WaitGroup
+	for i := range 3 {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		client := peer.NewClient(peer.WithKey("k"))
+		c := New(
+			NewMember(MemberSpec{
+				Name: fmt.Sprintf("vm%d", i), Incarnation: fmt.Sprintf("i%d", i), Domain: fmt.Sprintf("d%d", i), PeerAddress: l.Addr().String(),
+			}),
+			WithStore(st), WithParse(parseText),
+			WithCalls(Calls{Heartbeat: client.Heartbeat, Sync: client.Sync, Release: client.Release}),
+		)
+		h := peer.Handlers{Heartbeat: c.HandleHeartbeat, Sync: c.HandleSync, Release: c.HandleRelease}
+		s := &http.Server{Handler: peer.NewServer(h, peer.WithKey("k")), ReadHeaderTimeout: time.Second}
+		running.Go(func() { _ = s.Serve(l) })
+		running.Go(func() { c.Run(ctx) })
+		defer func() { _ = s.Close() }()
+		defer client.Close()
+		cells = append(cells, c)
+	}
+	waitFor(ctx, t, cells, 3)
+	var keeper int
+	for i, c := range cells {
+		if c.Status().IsKeeper {
+			keeper = i
+		}
+	}
+	if err := cells[keeper].Leave(ctx); err != nil {
+		t.Fatal(err)
+	}
+	cells[keeper].Close()
+	rest := append(append([]*Cell(nil), cells[:keeper]...), cells[keeper+1:]...)
+	waitFor(ctx, t, rest, 2)
+	for _, c := range rest {
+		c.Close()
+	}
+	cancel()
+}
+
+// waitFor waits until cells agree on members and each group has one full home.
+func waitFor(ctx context.Context, t *testing.T, cells []*Cell, members int) {
+	t.Helper()
+	for !agree(cells, members) {
+		if err := clock.Sleep(ctx, clock.System{}, 20*time.Millisecond); err != nil {
+			for _, c := range cells {
+				t.Errorf("%+v", c.Status())
+			}
+			t.Fatal(err)
+		}
+	}
+}
+
+func agree(cells []*Cell, members int) bool {
+	for _, c := range cells {
+		live := 0
+		for _, m := range c.Members() {
+			if !m.Leaving() {
+				live++
+			}
+		}
+		if c.Generation() != 1 || live != members {
+			return false
+		}
+	}
+	e, _ := cells[0].Estate()
+	s, _ := e.Service("s")
+	for _, g := range s.Groups() {
+		full := 0
+		for _, c := range cells {
+			if c.Share(g) == lease.Full && c.Order(g)[0].Name() == c.Status().Name {
+				full++
+			}
+		}
+		if full != 1 {
+			return false
+		}
+	}
+	return true
+}
