cell: members that left neither hold homes nor vote

After two of three daemons had left in good order, the epoch of the third could not settle and it stayed at the reserved share. A leaving member takes no homes again, so it is not counted. Leaving is final, because a heartbeat that was sent before may arrive later.

--- a/cell/elect.go
+++ b/cell/elect.go
@@ -154,7 +154,8 @@
 	next.term, next.epoch, next.keeper = m.term+1, m.epoch+1, c.self
 	next.previous = union(m.members, m.previous)
 	if settled {
-		next.previous, next.base, next.baseEpoch = m.members, m.members, m.epoch
+		next.previous, next.baseEpoch = staying(m.members), m.epoch
+		next.base = next.previous
 	}
 	next.members = slices.DeleteFunc(slices.Clone(m.members), func(x Member) bool {
 		return x.Name() == c.self.Name()
--- a/cell/keeper.go
+++ b/cell/keeper.go
@@ -115,7 +115,8 @@
 		h = &hearing{}
 		k.heard[id] = h
 	}
-	h.at, h.epoch, h.leaving = now, max(h.epoch, epoch), from.Leaving()
+	// A message that was sent earlier may arrive later; leaving is final.
+	h.at, h.epoch, h.leaving = now, max(h.epoch, epoch), h.leaving || from.Leaving()
 	return true
 }
 
@@ -245,7 +246,7 @@
 	next.generation, next.digest = generation, digest
 	next.previous = k.holders()
 	if k.settled {
-		next.base, next.baseEpoch = k.cur.members, k.cur.epoch
+		next.base, next.baseEpoch = staying(k.cur.members), k.cur.epoch
 	}
 	if len(next.previous) > maxHolders {
 		meter.Count("cell.epoch.deferred", 1)
@@ -257,7 +258,7 @@
 // holders returns all that may be homes by the current or an earlier epoch.
 func (k *keeper) holders() []Member {
 	if k.settled {
-		return k.cur.members
+		return staying(k.cur.members)
 	}
 	held := slices.DeleteFunc(slices.Clone(k.cur.previous), func(m Member) bool {
 		return k.acked(m.Incarnation())
@@ -271,8 +272,8 @@
 	var out []Member
 	for _, m := range k.cur.members {
 		self := m.Incarnation() == k.cur.keeper.Incarnation()
-		if h := k.heard[m.Incarnation()]; h != nil && h.leaving != m.Leaving() {
-			m = m.withLeaving(h.leaving)
+		if h := k.heard[m.Incarnation()]; h != nil && h.leaving {
+			m = m.withLeaving(true)
 		}
 		if self || !k.lapsed(now, m.Incarnation()) && !k.superseded(now, m) {
 			out = append(out, m)
--- a/cell/membership.go
+++ b/cell/membership.go
@@ -1,6 +1,8 @@
 package cell
 
 import (
+	"slices"
+
 	"github.com/rotisserie/eris"
 )
 
@@ -15,7 +17,7 @@
 	keeper     Member
 	members    []Member
 	previous   []Member // All that may still be homes by earlier epochs.
-	base       []Member // Members of baseEpoch; a majority of them must acknowledge this epoch.
+	base       []Member // Members of baseEpoch that stayed; a majority of them must acknowledge this epoch.
 }
 
 // newer reports whether m follows o, which may be nil.
@@ -92,6 +94,13 @@
 	return Member{}, false
 }
 
+// staying returns the members that are not leaving. A leaving member takes no
+// homes again, so it neither holds any after its last epoch is settled nor
+// votes.
+func staying(list []Member) []Member {
+	return slices.DeleteFunc(slices.Clone(list), Member.Leaving)
+}
+
 // union returns the members of both lists, without duplicates.
 func union(a, b []Member) []Member {
 	out := append([]Member(nil), a...)
--- a/cell/poll.go
+++ b/cell/poll.go
@@ -70,9 +70,9 @@
 
 // countLocked extends the lease when a majority knows no later epoch. A later
 // epoch becomes settled only after a majority of its base has acknowledged it,
-// and the two majorities share a daemon. The base of the next epoch is this
-// epoch's members once the store has this epoch as settled; until then it may
-// be this epoch's base as well, so a majority of both is needed.
+// and the two majorities share a daemon. The base of the next epoch is the
+// members of this one that stay once the store has this epoch as settled; until
+// then it may be this epoch's base as well, so a majority of both is needed.
 func (c *Cell) countLocked(now time.Duration, r *round) {
 	if c.view.m != r.m {
 		return
@@ -80,7 +80,7 @@
 	end := r.sent + standstillTime
 	ok := func(m Member) bool { return m.Incarnation() == c.self.Incarnation() || r.same[m.Incarnation()] }
 	switch {
-	case !majority(r.m.members, ok) || !c.view.recorded && !majority(r.m.base, ok):
+	case !majority(staying(r.m.members), ok) || !c.view.recorded && !majority(r.m.base, ok):
 		if len(r.same) > 0 {
 			c.view.minor = max(c.view.minor, end)
 		}
--- a/cell/random_test.go
+++ b/cell/random_test.go
@@ -49,6 +49,7 @@
 	f.st.down = false
 	for _, n := range f.nodes {
 		n.storeCut, n.pausedUntil = false, 0
+		n.dead = n.dead || n.cell.leaving
 		if n.dead {
 			f.boot(n.pos)
 		}
@@ -60,7 +61,7 @@
 	end := f.clk.Boot() + 2*time.Minute - time.Second
 	for f.clk.Boot() < end {
 		n := f.nodes[f.rng.IntN(len(f.nodes))]
-		switch f.rng.IntN(12) {
+		switch f.rng.IntN(13) {
 		case 0:
 			f.split(f.rng.IntN(len(f.nodes)))
 		case 1:
@@ -86,6 +87,11 @@
 				f.boot(n.pos)
 			}
 		case 11:
+			n.cell.leaving = true
+			if n.cell.left() {
+				f.kill(n.pos)
+			}
+		case 12:
 			out := fmt.Sprintf("d%d", f.rng.IntN(domains+2))
 			f.st.apply(catalogueText(f.st.generation+1, out, f.rng.IntN(3)))
 		}
--- a/cell/scenario_test.go
+++ b/cell/scenario_test.go
@@ -205,3 +205,24 @@
 	}
 	f.steady(5*time.Second, "homes elsewhere", f.whole)
 }
+
+// Guards against daemons that left in good order and are then missed as voters:
+// the last daemon stayed at the reserved share until the VM list dropped them.
+func TestAllButOneLeave(t *testing.T) {
+	f := running(t, 3)
+	for range 2 {
+		n := f.other(f.keeper())
+		for n.dead {
+			n = f.other(n)
+		}
+		n.cell.leaving = true
+		f.want(3*time.Second, "hand-over", func() error {
+			if !n.cell.left() {
+				return fmt.Errorf("not left")
+			}
+			return nil
+		})
+		f.kill(n.pos)
+	}
+	f.steady(20*time.Second, "homes of the last", func() error { return f.homes(lease.Full, f.ids) })
+}
