--- a/cell/membership.go
+++ b/cell/membership.go
@@ -1,6 +1,8 @@
 package cell
 
 import (
+	"slices"
+
 	"github.com/rotisserie/eris"
 )
 
@@ -15,7 +17,7 @@
 	keeper     Member
 	members    []Member
 	previous   []Member // All that may still be homes by earlier epochs.
-	base       []Member // Members of baseEpoch; a majority of them must acknowledge this epoch.
+	base       []Member // Members of baseEpoch that stayed; a majority of them must acknowledge this epoch.
 }
 
 // newer reports whether m follows o, which may be nil.
@@ -23,6 +25,15 @@
 	return o == nil || m.epoch > o.epoch && m.term >= o.term
 }
 
+// contradicts reports whether m cannot follow o, which may be nil, though its
+// epoch is later: its term is earlier, or it is further ahead than can be.
+func (m *membership) contradicts(o *membership) bool {
+	if o == nil || m.epoch <= o.epoch {
+		return false
+	}
+	return m.term < o.term || m.epoch-o.epoch > maxStep || m.term-o.term > maxStep
+}
+
 // member finds a member by incarnation.
 func (m *membership) member(incarnation string) (Member, bool) {
 	return findMember(m.members, incarnation)
@@ -83,6 +94,13 @@
 	return Member{}, false
 }
 
+// staying returns the members that are not leaving. A leaving member takes no
+// homes again, so it neither holds any after its last epoch is settled nor
+// votes.
+func staying(list []Member) []Member {
+	return slices.DeleteFunc(slices.Clone(list), Member.Leaving)
+}
+
 // union returns the members of both lists, without duplicates.
 func union(a, b []Member) []Member {
 	out := append([]Member(nil), a...)
