--- a/daemon/logging.go
+++ b/daemon/logging.go
@@ -20,8 +20,13 @@
 	linesPerSecond = 20
 )
 
-// limitLog bounds the lines of the global logger.
-func limitLog() { log.Logger = log.Logger.Sample(newLineLimit(time.Now)) }
+var limitOnce sync.Once
+
+// limitLog bounds the lines of the global logger. Tests run several daemons in
+// one process.
+func limitLog() {
+	limitOnce.Do(func() { log.Logger = log.Logger.Sample(newLineLimit(time.Now)) })
+}
 
 // lineLimit is a zerolog.Sampler that admits linesPerSecond lines of each level.
 type lineLimit struct {
--- a/daemon/shutdown.go
+++ b/daemon/shutdown.go
@@ -10,6 +10,13 @@
 	"medlaryard.example/medlaryard/clock"
 )
 
+// handOverCheck is the time between looks at whether a successor is left.
+const handOverCheck = 100 * time.Millisecond
+
+// addressSpread is the time until all daemons have learned from two heartbeats
+// that this one is leaving.
+const addressSpread = time.Second
+
 // drainCheck is the time between looks at the requests in flight.
 const drainCheck = 10 * time.Millisecond
 
@@ -22,18 +29,20 @@
 	d.leaving.Store(true)
 	d.refreshView()
 	log.Info().Msg("daemon is leaving")
+	keep := d.cfg.AddressTTL() + addressSpread
+	leave, cancelLeave := context.WithTimeout(ctx, max(0, d.cfg.ShutdownLimit()-2*keep))
+	defer cancelLeave()
 	left := make(chan error, 1)
-	go func() { left <- d.cell.Leave(ctx) }()
-	// Callers keep an address answer for this time and still come.
-	_ = clock.Sleep(ctx, d.clk, d.cfg.AddressTTL())
+	go func() { left <- d.cell.Leave(leave) }()
+	d.awaitHandOver(left)
+	// The other daemons give this address out until they see that it leaves,
+	// and callers keep the answer.
+	_ = clock.Sleep(ctx, d.clk, keep)
 	d.entry.Leave()
 	// The longest deadline bounds this wait, unless the limit comes first.
 	for d.entry.InFlight() > 0 && clock.Sleep(ctx, d.clk, drainCheck) == nil {
 		continue
 	}
-	if err := <-left; err != nil {
-		log.Warn().Err(err).Msg("homes are not handed over")
-	}
 	cut := d.entry.InFlight()
 	for _, g := range d.homes.Status() {
 		cut += int64(g.InFlight() + g.Queued())
@@ -63,3 +72,26 @@
 	}
 	return nil
 }
+
+// awaitHandOver waits until the homes are handed over. The last daemon of a cell
+// has no successor to wait for.
+func (d *daemon) awaitHandOver(left <-chan error) {
+	t := d.clk.NewTimer(handOverCheck)
+	defer t.Stop()
+	for {
+		select {
+		case err := <-left:
+			if err != nil {
+				log.Warn().Err(err).Msg("homes are not handed over")
+			}
+			return
+		case <-t.C():
+			// The view leaves out this daemon and others that are leaving.
+			if len(d.view.Load().addresses) == 0 {
+				log.Info().Msg("no daemon is left to hand homes over to")
+				return
+			}
+			t.Reset(handOverCheck)
+		}
+	}
+}
--- a/entry/ask.go
+++ b/entry/ask.go
@@ -54,7 +54,7 @@
 
 // askGroup adds a group to the batch of its home, or reads this daemon's own.
 func (s *search) askGroup(batches []*batch, name, group string) []*batch {
-	h, at, ok := s.e.pick(group, 0)
+	h, acting, ok := s.e.pick(group, nil)
 	if !ok {
 		return batches
 	}
@@ -64,7 +64,7 @@
 		}
 		return batches
 	}
-	return join(batches, h, 0, s.askRequest(name, group, at > 0))
+	return join(batches, h, 0, s.askRequest(name, group, acting))
 }
 
 func (s *search) askHome(ctx context.Context, b *batch) {
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -7,6 +7,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"medlaryard.example/medlaryard/catalogue"
+	"medlaryard.example/medlaryard/clock"
 	"medlaryard.example/medlaryard/invariant"
 	"medlaryard.example/medlaryard/meter"
 	"medlaryard.example/medlaryard/once"
@@ -36,15 +37,24 @@
 
 func (a *attempt) work(ctx context.Context) once.Outcome {
 	last := once.Refused(refusal.New(refusal.HomeUnreachable, "no daemon serves the group").WithRan(refusal.NotRun))
-	for from := 0; from < maxCandidates && ctx.Err() == nil; {
-		h, at, ok := a.e.pick(a.request.Group, from)
+	var tried []string
+	rounds := 0
+	for ctx.Err() == nil {
+		h, acting, ok := a.e.pick(a.request.Group, tried)
 		if !ok {
-			break
+			// Homes change hands within a second.
+			pause := firstRound << rounds
+			if rounds >= maxRounds || a.deadline-a.e.clk.Boot() <= 2*pause || clock.Sleep(ctx, a.e.clk, pause) != nil {
+				break
+			}
+			tried, rounds = nil, rounds+1
+			continue
 		}
 		invariant.Check("entry.run_once", a.unproved == 0, "request %s is sent again without proof", a.r.id)
 		a.unproved++
 		spec := a.request
-		spec.Acting = at > 0
+		spec.Acting = acting
+		tried = append(tried, h.Name())
 		last = a.send(ctx, h, shard.NewRequest(spec))
 		if last.Ran() != refusal.NotRun {
 			return last
@@ -53,7 +63,6 @@
 		switch last.Kind() {
 		case refusal.NotHome, refusal.ShuttingDown, refusal.HomeUnreachable, refusal.WrongIncarnation:
 			meter.Retried("entry", last.Kind())
-			from = at + 1
 		default:
 			return last
 		}
--- a/entry/fanout.go
+++ b/entry/fanout.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"time"
 
+	"medlaryard.example/medlaryard/clock"
 	"medlaryard.example/medlaryard/meter"
 	"medlaryard.example/medlaryard/refusal"
 	"medlaryard.example/medlaryard/shard"
@@ -25,6 +27,8 @@
 	waiting int // Calls without an end.
 	// stale is set when a shard no longer holds the target.
 	stale bool
+	// again ends the wait of parked lanes.
+	again clock.Timer
 	// ran is what earlier fan-outs of the query leave open.
 	ran refusal.Ran
 	// crashed is set when a searcher crashed under a suspect request.
@@ -60,10 +64,12 @@
 func (f *fanout) round(ctx context.Context, lanes []int) {
 	now := f.s.e.clk.Boot()
 	f.s.e.budget.earn(f.s.service.Name(), f.s.service.ExtraBudget(), len(lanes), len(f.p.lanes))
-	f.send(ctx, lanes, 0)
+	f.send(ctx, lanes)
 	silence := f.s.e.clk.NewTimer(min(maxSilence, fractionOf(f.s.deadline-now, silenceFraction)))
 	defer silence.Stop()
-	for f.waiting > 0 && !f.done(lanes) {
+	f.again = f.s.e.clk.NewTimer(time.Hour)
+	defer f.again.Stop()
+	for !f.done(lanes) {
 		select {
 		case r := <-f.replies:
 			f.take(ctx, r)
@@ -72,6 +78,8 @@
 			}
 		case <-silence.C():
 			f.passOver(ctx)
+		case <-f.again.C():
+			f.unpark(ctx)
 		case <-ctx.Done():
 			f.expire(ctx, lanes)
 			return
@@ -88,19 +96,19 @@
 	return true
 }
 
-// send groups lanes by daemon, from position from of each group's hash order.
-func (f *fanout) send(ctx context.Context, lanes []int, from int) {
+// send groups lanes by the next daemon that each is sent to.
+func (f *fanout) send(ctx context.Context, lanes []int) {
 	var fresh []*batch
 	for _, i := range lanes {
 		l := &f.p.lanes[i]
-		h, at, ok := f.s.e.pick(l.group, from)
+		h, acting, ok := f.s.e.pick(l.group, l.tried)
 		if !ok {
-			l.fail(refusal.HomeUnreachable, refusal.NotRun, "no daemon serves the group")
+			f.park(l)
 			continue
 		}
-		l.candidate = at
+		l.tried = append(l.tried, h.Name())
 		l.pending++
-		fresh = join(fresh, h, i, f.request(l, at > 0))
+		fresh = join(fresh, h, i, f.request(l, acting))
 	}
 	for _, b := range fresh {
 		b.sent = f.s.e.clk.Boot()
@@ -161,7 +169,7 @@
 		}
 		b.given = true
 		meter.Retried("entry", refusal.HomeUnreachable)
-		f.resend(ctx, lanes)
+		f.send(ctx, lanes)
 	}
 }
 
@@ -175,36 +183,6 @@
 	return open
 }
 
-// resend sends each lane to its next candidate.
-func (f *fanout) resend(ctx context.Context, lanes []int) {
-	for next := 1; next < maxCandidates; next++ {
-		var group []int
-		for _, i := range lanes {
-			if f.p.lanes[i].candidate+1 == next {
-				group = append(group, i)
-			}
-		}
-		if len(group) > 0 {
-			f.send(ctx, group, next)
-			lanes = without(lanes, group)
-		}
-	}
-}
-
-func without(lanes, gone []int) []int {
-	var left []int
-next:
-	for _, i := range lanes {
-		for _, g := range gone {
-			if i == g {
-				continue next
-			}
-		}
-		left = append(left, i)
-	}
-	return left
-}
-
 // expire marks the lanes that are still open at the end of ctx.
 func (f *fanout) expire(ctx context.Context, lanes []int) {
 	kind := refusal.Cancelled
--- a/entry/lane.go
+++ b/entry/lane.go
@@ -16,8 +16,12 @@
 
 	// pending is the number of sends without an answer yet.
 	pending int
-	// candidate is the position in the hash order that was sent to last.
-	candidate int
+	// tried are the daemons that the lane was sent to in this round of candidates.
+	tried []string
+	// parked is set while the lane waits for the next round, because no daemon
+	// served the group. Homes change hands within a second.
+	parked bool
+	rounds int
 	// merged is set once result was accepted.
 	merged bool
 	result shard.Result
@@ -28,7 +32,7 @@
 }
 
 // done reports whether no answer is awaited.
-func (l *lane) done() bool { return l.merged || l.pending == 0 }
+func (l *lane) done() bool { return l.merged || l.pending == 0 && !l.parked }
 
 func (l *lane) fail(kind refusal.Kind, ran refusal.Ran, detail string) {
 	if l.merged {
--- a/entry/limits.go
+++ b/entry/limits.go
@@ -45,4 +45,9 @@
 	// maxCandidates is the number of daemons that a sub-request is sent to in
 	// turn: the home and two acting homes.
 	maxCandidates = 3
+	// firstRound is the pause before candidates are tried a second time; each
+	// later pause is twice as long.
+	firstRound = 20 * time.Millisecond
+	// maxRounds covers the second in which a home changes hands.
+	maxRounds = 6
 )
--- a/entry/pick.go
+++ b/entry/pick.go
@@ -1,17 +1,25 @@
 package entry
 
-// pick returns the first daemon in hash order, from position from on, that is
-// not passed over, and its position. Any position but 0 is an acting home.
-func (e *Entry) pick(group string, from int) (Home, int, bool) {
+import "slices"
+
+// pick returns the first daemon in hash order that was not tried and is not
+// passed over. Any but the first of the order is an acting home. The order may
+// change between calls, so daemons are remembered by name.
+func (e *Entry) pick(group string, tried []string) (h Home, acting, ok bool) {
+	if len(tried) >= maxCandidates {
+		return Home{}, false, false
+	}
 	order := e.fleet.Order(group)
 	order = order[:min(len(order), maxCandidates)]
-	for i := from; i < len(order); i++ {
-		if e.reach.up(order[i]) {
-			return order[i], i, true
+	for i, c := range order {
+		if !slices.Contains(tried, c.Name()) && e.reach.up(c) {
+			return c, i > 0, true
 		}
 	}
-	if from < len(order) {
-		return order[from], from, true
+	for i, c := range order {
+		if !slices.Contains(tried, c.Name()) {
+			return c, i > 0, true
+		}
 	}
-	return Home{}, 0, false
+	return Home{}, false, false
 }
--- a/entry/take.go
+++ b/entry/take.go
@@ -40,7 +40,7 @@
 		meter.Count("entry.result.unasked", int64(extra))
 	}
 	if len(again) > 0 && !r.batch.given {
-		f.resend(ctx, again)
+		f.send(ctx, again)
 	}
 }
 
@@ -72,7 +72,7 @@
 	case refusal.SnapshotGone:
 		f.stale = true
 	case refusal.NotHome, refusal.ShuttingDown, refusal.HomeUnreachable:
-		again = r.Ran() == refusal.NotRun && l.pending == 0 && l.candidate+1 < maxCandidates
+		again = r.Ran() == refusal.NotRun && l.pending == 0
 		if again {
 			meter.Retried("entry", kind)
 		}
@@ -108,7 +108,7 @@
 		l := &f.p.lanes[i]
 		l.pending--
 		l.fail(e.Kind(), e.Ran(), e.Detail())
-		if !l.merged && l.pending == 0 && l.candidate+1 < maxCandidates {
+		if !l.merged && l.pending == 0 {
 			open = append(open, i)
 		}
 	}
@@ -119,7 +119,7 @@
 		return
 	}
 	meter.Retried("entry", e.Kind())
-	f.resend(ctx, open)
+	f.send(ctx, open)
 }
 
 // find returns the result that belongs to the request and how many claim to.
--- a/once/guard.go
+++ b/once/guard.go
@@ -42,7 +42,15 @@
 	}
 	// Bars the identifier for good if do panics.
 	o := Refused(refusal.New(refusal.OutcomeUnknown, "home failed"))
-	defer func() { rec.Finish(o) }()
+	defer func() {
+		// The entry may send it here again once it knows that it did not run.
+		// It asks for the outcome, which bars the identifier, when it does not.
+		if o.ran == refusal.NotRun {
+			rec.Forget(o)
+			return
+		}
+		rec.Finish(o)
+	}()
 	res := g.do(ctx, r)
 	o = outcomeOf(res)
 	return res
--- a/once/record.go
+++ b/once/record.go
@@ -16,6 +16,10 @@
 // Finish records the outcome. Only the holder of a Fresh record calls it, once.
 func (r *Record) Finish(o Outcome) { r.t.finish(r, o) }
 
+// Forget ends the record with an outcome that is "not run" and forgets the
+// identifier, so that its sender may send it again.
+func (r *Record) Forget(o Outcome) { r.t.forget(r, o) }
+
 // Done is closed when the outcome is known.
 func (r *Record) Done() <-chan struct{} { return r.done }
 
--- a/once/table.go
+++ b/once/table.go
@@ -146,6 +146,22 @@
 	t.finishLocked(r, o)
 }
 
+func (t *Table) forget(r *Record, o Outcome) {
+	invariant.Check("once.forget_not_run", o.ran == refusal.NotRun, "identifier %q is forgotten after %s", r.key, o.ran)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r.outcome = o
+	t.removeLocked(r)
+	close(r.done)
+}
+
+func (t *Table) removeLocked(r *Record) {
+	delete(t.byKey, r.key)
+	if t.byOwner[r.owner]--; t.byOwner[r.owner] == 0 {
+		delete(t.byOwner, r.owner)
+	}
+}
+
 func (t *Table) finishLocked(r *Record, o Outcome) {
 	if _, ended := r.Outcome(); !invariant.Check("once.one_outcome", !ended, "identifier %q ends twice", r.key) {
 		return
@@ -162,10 +178,7 @@
 	for n < len(t.ended) && t.ended[n].expires <= now {
 		r := t.ended[n]
 		t.held -= len(r.outcome.body)
-		delete(t.byKey, r.key)
-		if t.byOwner[r.owner]--; t.byOwner[r.owner] == 0 {
-			delete(t.byOwner, r.owner)
-		}
+		t.removeLocked(r)
 		t.ended[n] = nil
 		n++
 	}
