--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -44,6 +44,7 @@
 	guard    *once.Guard
 	desk     *once.Desk
 	entry    *entry.Entry
+	moves    *moves
 
 	callers   *entry.Server
 	peers     *server
@@ -100,6 +101,7 @@
 	d.trial = admission.NewTrial(d.suspects, d.homes.Do)
 	d.newCell()
 	d.newEntry()
+	d.moves = newMoves(d.clk, d.store, d.cell, d.homes, d.incarnation, d.client.Report)
 	d.callers = entry.NewServer(d.entry)
 	d.peers = newServer("peers", peer.NewServer(d.handlers(), peerOptions...))
 	d.operators = newServer("operators", d.operatorHandler())
@@ -157,6 +159,7 @@
 	d.serve("operators", d.listeners.operators, d.operators.serve)
 	d.tasks.Go(func() { d.cell.Run(d.ctx) })
 	d.tasks.Go(d.refreshLoop)
+	d.tasks.Go(func() { d.moves.run(d.ctx) })
 	d.tasks.Go(func() { d.strikes.run(d.ctx, d.clk, d.suspects) })
 	d.serve("callers", d.listeners.callers, d.callers.Serve)
 	log.Info().Str("incarnation", d.incarnation).Str("callers", d.listeners.callers.Addr().String()).
--- a/daemon/handlers.go
+++ b/daemon/handlers.go
@@ -15,6 +15,7 @@
 		Heartbeat: d.cell.HandleHeartbeat,
 		Sync:      d.cell.HandleSync,
 		Release:   d.cell.HandleRelease,
+		Report:    d.moves.serveReport,
 		Outcome: func(_ context.Context, in *peerpb.OutcomeRequest) (*peerpb.OutcomeReply, error) {
 			return d.desk.Outcome(in)
 		},
--- a/daemon/status.go
+++ b/daemon/status.go
@@ -46,9 +46,21 @@
 	Name string `json:"name"`
 	inForce
 	Policy string        `json:"policy"`
+	Moves  []moveStatus  `json:"moves,omitempty"`
 	Groups []groupStatus `json:"groups"`
 }
 
+type moveStatus struct {
+	Name   string    `json:"name"`
+	From   string    `json:"from"`
+	To     string    `json:"to"`
+	Phase  string    `json:"phase"`
+	Share  float64   `json:"share"`
+	Step   uint64    `json:"step"`
+	Since  time.Time `json:"since,omitzero"`
+	Reason string    `json:"reason,omitempty"`
+}
+
 type groupStatus struct {
 	ID    string `json:"id"`
 	Home  string `json:"home"`
@@ -108,6 +120,7 @@
 		if c.Asked > c.InForce && st.WhyNot == "" {
 			st.WhyNot = "the newer catalogue has not been read yet"
 		}
+		st.Moves = d.moveStatus(s.Name())
 		for _, g := range s.Groups() {
 			st.Groups = append(st.Groups, d.groupStatus(v, g, homes))
 		}
@@ -116,6 +129,19 @@
 	return out
 }
 
+func (d *daemon) moveStatus(service string) []moveStatus {
+	var list []moveStatus
+	for _, s := range d.moves.follower.States() {
+		if s.Service() == service {
+			list = append(list, moveStatus{
+				Name: s.Move(), From: s.From(), To: s.To(), Phase: string(s.Phase()),
+				Share: s.Share(), Step: s.Step(), Since: s.Since(), Reason: s.Reason(),
+			})
+		}
+	}
+	return list
+}
+
 // groupStatus describes a group as this daemon sees it. Searchers are listed by
 // daemons that have a share of the group.
 func (d *daemon) groupStatus(v *view, g catalogue.Group, homes map[string]home.GroupStatus) groupStatus {
--- a/move/follower.go
+++ b/move/follower.go
@@ -1,6 +1,8 @@
 package move
 
 import (
+	"slices"
+	"strings"
 	"sync"
 
 	"github.com/rs/zerolog/log"
@@ -26,20 +28,18 @@
 type followed struct {
 	service string
 	move    *catalogue.Move
-	step    uint64
-	phase   Phase
-	share   float64
-	stopped string
+	state   State
+	stopped string // Fault for which this daemon stopped the version.
 	window  *window
 }
 
 // effective is the share that the homes apply: none after a local stop, until
 // the controller has ended the move.
 func (m *followed) effective() float64 {
-	if m.stopped != "" && !m.phase.Final() {
+	if m.stopped != "" && !m.state.phase.Final() {
 		return 0
 	}
-	return m.share
+	return m.state.share
 }
 
 // NewFollower returns a Follower. The setShare function is told every change,
@@ -73,7 +73,7 @@
 		old.move = m
 		return
 	}
-	f.moves[key] = &followed{service: service, move: m, phase: Pending, window: newWindow(f.clock.Boot())}
+	f.moves[key] = &followed{service: service, move: m, state: NewState(service, m), window: newWindow(f.clock.Boot())}
 	f.setShare(service, m.Name(), 0)
 }
 
@@ -83,16 +83,16 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	m, ok := f.moves[Key(s.service, s.move)]
-	if !ok || !s.Matches(m.move) || s.step <= m.step {
+	if !ok || !s.Matches(m.move) || s.step <= m.state.step {
 		return
 	}
-	if !invariant.Check("move.final", !m.phase.Final(), "move %s of %s goes on after %s", s.move, s.service, m.phase) {
+	if !invariant.Check("move.final", !m.state.phase.Final(), "move %s of %s goes on after %s", s.move, s.service, m.state.phase) {
 		return
 	}
 	if s.share < 0 || s.share > 1 {
 		return
 	}
-	m.step, m.phase, m.share = s.step, s.phase, s.share
+	m.state = s
 	m.window = newWindow(f.clock.Boot())
 	f.setShare(m.service, s.move, m.effective())
 }
@@ -106,7 +106,7 @@
 	for _, e := range evidence {
 		d := f.ledger.difference("", e, now)
 		for _, m := range f.moves {
-			if m.service == e.service && m.phase == Running {
+			if m.service == e.service && m.state.phase == Running {
 				m.window.add(m.move, e.version, e.route, d, now)
 			}
 		}
@@ -120,7 +120,7 @@
 }
 
 func (f *Follower) judge(m *followed) {
-	if m.phase != Running || m.stopped != "" {
+	if m.state.phase != Running || m.stopped != "" {
 		return
 	}
 	fault := m.window.fault(NewGuard(m.move))
@@ -144,3 +144,22 @@
 	}
 	return stops
 }
+
+// States returns the states of the declared moves as this daemon applies them.
+func (f *Follower) States() []State {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var states []State
+	for _, m := range f.moves {
+		s := m.state
+		s.share = m.effective()
+		if m.stopped != "" && !s.phase.Final() {
+			s.reason = "stopped by this daemon: " + m.stopped
+		}
+		states = append(states, s)
+	}
+	slices.SortFunc(states, func(a, b State) int {
+		return strings.Compare(Key(a.service, a.move), Key(b.service, b.move))
+	})
+	return states
+}
--- a/move/sample.go
+++ b/move/sample.go
@@ -46,6 +46,18 @@
 	return s, nil
 }
 
+// SampleOf returns a Sample with counts and latencies that were recorded
+// elsewhere, in microseconds.
+func SampleOf(requests, errors uint64, latency *hdrhistogram.Histogram) (*Sample, error) {
+	s := NewSample()
+	if errors > requests {
+		return nil, eris.Errorf("%d errors exceed %d requests", errors, requests)
+	}
+	s.requests, s.errors = requests, errors
+	s.latency.Merge(latency)
+	return s, nil
+}
+
 // Requests returns the number of requests.
 func (s *Sample) Requests() uint64 { return s.requests }
 
--- a/move/state.go
+++ b/move/state.go
@@ -50,6 +50,7 @@
 	return State{
 		service: in.GetService(), move: in.GetMove(), from: in.GetFrom(), to: in.GetTo(),
 		phase: Phase(in.GetState()), step: in.GetStep(), share: in.GetShare(),
+		reason: in.GetReason(), since: time.UnixMilli(in.GetSinceUnixMs()).UTC(),
 	}
 }
 
@@ -58,6 +59,7 @@
 	return &peerpb.MoveShare{
 		Service: s.service, Move: s.move, From: s.from, To: s.to,
 		State: string(s.phase), Step: s.step, Share: s.share,
+		Reason: s.reason, SinceUnixMs: s.since.UnixMilli(),
 	}
 }
 
@@ -94,6 +96,12 @@
 // Phase returns the stage that the move is in.
 func (s State) Phase() Phase { return s.phase }
 
+// From returns the version that traffic leaves.
+func (s State) From() string { return s.from }
+
+// To returns the version that traffic goes to.
+func (s State) To() string { return s.to }
+
 // Step returns the number of steps taken; it never decreases.
 func (s State) Step() uint64 { return s.step }
 
