entry: one identifier for each send

Searchers cancel by identifier. With the caller's own, a late cancellation of an abandoned fan-out, or of another caller's query of the same name, would have ended a later send. A suspect's refusal now names the failure of the shard that it was sent to.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -22,6 +22,7 @@
 	cuts    cuts
 	// incarnation identifies this process in tickets.
 	incarnation string
+	sends       atomic.Uint64
 	inFlight    atomic.Int64
 	closing     atomic.Bool
 
--- a/entry/failover_test.go
+++ b/entry/failover_test.go
@@ -19,6 +19,7 @@
 	group  string
 	acting bool
 	marked bool // As suspect.
+	id     string
 }
 
 // record replaces the homes of w by ones that note what they receive. Calls to
@@ -32,7 +33,7 @@
 		mu.Lock()
 		defer mu.Unlock()
 		if r.Snapshot() != askSnapshot {
-			list = append(list, sent{name, r.Group(), r.Acting(), r.Suspect()})
+			list = append(list, sent{name, r.Group(), r.Acting(), r.Suspect(), r.ID()})
 		}
 	}
 	w.e.fleet.Local = func(ctx context.Context, r shard.Request) shard.Result {
@@ -65,8 +66,9 @@
 	}
 }
 
-// Guards against a silent home that costs callers their answer, and against
-// later queries that wait for it again.
+// Guards against a silent home that costs callers their answer, against later
+// queries that wait for it again, and against a second send under the identifier
+// of the first, which a late cancellation would end.
 func TestSilentHomeIsReplacedByActingHome(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld(t, 1)
@@ -83,7 +85,13 @@
 			if took := time.Since(began); k == 1 && took >= maxSilence {
 				t.Errorf("second query took %v", took)
 			}
+			ids := make(map[string]string) // Identifier to group and home.
 			for _, s := range taken() {
+				if key := s.group + s.home; ids[s.group+s.id] != "" && ids[s.group+s.id] != key {
+					t.Errorf("%s: %+v has the identifier of another send", id, s)
+				} else {
+					ids[s.group+s.id] = key
+				}
 				ofSilent := (s.group[len("songs/s")]-'0')%3 == 1
 				if s.acting != (s.home == "c" && ofSilent) {
 					t.Errorf("%s: sent %+v", id, s)
--- a/entry/fanout.go
+++ b/entry/fanout.go
@@ -99,6 +99,7 @@
 // send groups lanes by the next daemon that each is sent to.
 func (f *fanout) send(ctx context.Context, lanes []int) {
 	var fresh []*batch
+	id := f.s.e.sendID(f.s.q.id)
 	for _, i := range lanes {
 		l := &f.p.lanes[i]
 		h, acting, ok := f.s.e.pick(l.group, l.tried)
@@ -108,7 +109,7 @@
 		}
 		l.tried = append(l.tried, h.Name())
 		l.pending++
-		fresh = join(fresh, h, i, f.request(l, acting))
+		fresh = join(fresh, h, i, f.request(id, l, acting))
 	}
 	for _, b := range fresh {
 		b.sent = f.s.e.clk.Boot()
@@ -132,10 +133,10 @@
 	return append(batches, &batch{home: h, lanes: []int{lane}, requests: []shard.Request{r}})
 }
 
-func (f *fanout) request(l *lane, acting bool) shard.Request {
+func (f *fanout) request(id string, l *lane, acting bool) shard.Request {
 	s := f.s
 	return shard.NewRequest(shard.RequestSpec{
-		ID: s.q.id, Owner: s.q.owner, Class: s.q.class, Service: s.q.service, Route: s.q.route,
+		ID: id, Owner: s.q.owner, Class: s.q.class, Service: s.q.service, Route: s.q.route,
 		Shard: l.shard, Group: l.group, Snapshot: f.p.target.snapshot, Limit: s.q.limit,
 		Deadline: s.deadline, Idempotent: true, Fingerprint: s.fingerprint,
 		Suspect: s.suspect, Acting: acting, Body: s.q.body,
@@ -202,6 +203,7 @@
 func (f *fanout) skipRest() {
 	for i := range f.p.lanes {
 		if l := &f.p.lanes[i]; !l.merged && l.reason == refusal.None {
+			l.skipped = true
 			l.fail(refusal.Poisoned, refusal.NotRun, "request is suspect")
 		}
 	}
--- a/entry/lane.go
+++ b/entry/lane.go
@@ -22,6 +22,8 @@
 	// served the group. Homes change hands within a second.
 	parked bool
 	rounds int
+	// skipped is set when a suspect was not sent to the shard.
+	skipped bool
 	// merged is set once result was accepted.
 	merged bool
 	result shard.Result
--- a/entry/verdict.go
+++ b/entry/verdict.go
@@ -42,6 +42,9 @@
 	top, detail := refusal.None, ""
 	for i := range f.p.lanes {
 		l := &f.p.lanes[i]
+		if l.skipped {
+			continue // The shard that failed tells why.
+		}
 		counts[l.reason]++
 		if counts[l.reason] > counts[top] || top == refusal.None {
 			top, detail = l.reason, l.detail
--- a/entry/world_test.go
+++ b/entry/world_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -206,7 +207,7 @@
 func (w *world) markRan(id string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.ran[id] = true
+	w.ran[id[:strings.LastIndex(id, "~")]] = true
 }
 
 // answer returns the documents of l, sometimes with a label that is consistent
