--- a/standin/load/config.go
+++ b/standin/load/config.go
@@ -12,7 +12,7 @@
 	// answers address requests.
 	Daemons []string
 	// Operators are IP addresses and ports of operators' interfaces, from which
-	// the extra sub-requests are read; empty skips that.
+	// hedges and retries are read; empty skips that.
 	Operators []string
 	// Rate is the number of requests a second and Count their total number.
 	Rate  float64
@@ -39,7 +39,8 @@
 	// to the same and to another daemon.
 	ResendRatio float64
 	// Searchers is the IP address and port of the searchers' admin endpoint,
-	// from which the runs of each identifier are read; empty skips that check.
+	// from which the sub-requests received and the runs of each identifier are
+	// read; empty skips both.
 	Searchers string
 }
 
--- a/standin/load/extra.go
+++ b/standin/load/extra.go
@@ -2,15 +2,13 @@
 
 import (
 	"bufio"
-	"context"
-	"fmt"
-	"net/http"
+	"bytes"
 	"strconv"
 	"strings"
-	"time"
 )
 
-// Extra is the number of sub-requests that homes sent to searchers.
+// Extra is the number of sub-requests, as the searchers received them, and of
+// those that were hedges and retries, as the daemons count them.
 type Extra struct {
 	SubRequests int64
 	Hedges      int64
@@ -26,9 +24,8 @@
 	return Extra{e.SubRequests - o.SubRequests, e.Hedges - o.Hedges, e.Retries - o.Retries}
 }
 
-// fetchExtra sums the counters of all daemons. Counter names may be written
-// with dots or underscores.
-func fetchExtra(operators []string) (Extra, error) {
+// fetchExtra sums the counters of all daemons and searchers.
+func fetchExtra(operators []string, searchers string) (Extra, error) {
 	var sum Extra
 	for _, address := range operators {
 		counters, err := fetchCounters(address)
@@ -37,8 +34,6 @@
 		}
 		for name, n := range counters {
 			switch {
-			case name == "home_sent":
-				sum.SubRequests += n
 			case name == "home_hedge_sent":
 				sum.Hedges += n
 			case strings.HasPrefix(name, "home_retried_"):
@@ -46,34 +41,36 @@
 			}
 		}
 	}
+	if searchers == "" {
+		return sum, nil
+	}
+	var records map[string]struct {
+		Received int64 `json:"received"`
+	}
+	if err := fetchJSON("http://"+searchers+"/admin/records", &records); err != nil {
+		return sum, err
+	}
+	for _, r := range records {
+		sum.SubRequests += r.Received
+	}
 	return sum, nil
 }
 
 func fetchCounters(address string) (map[string]int64, error) {
-	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
-	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/metrics", nil)
+	data, err := fetch("http://" + address + "/metrics")
 	if err != nil {
 		return nil, err
 	}
-	resp, err := http.DefaultClient.Do(req)
-	if err != nil {
-		return nil, err
-	}
-	defer resp.Body.Close()
-	if resp.StatusCode != http.StatusOK {
-		return nil, fmt.Errorf("metrics of %s: status %d", address, resp.StatusCode)
-	}
 	counters := make(map[string]int64)
-	lines := bufio.NewScanner(resp.Body)
+	lines := bufio.NewScanner(bytes.NewReader(data))
 	for lines.Scan() {
 		fields := strings.Fields(lines.Text())
 		if len(fields) != 2 || strings.HasPrefix(fields[0], "#") {
 			continue
 		}
 		if n, err := strconv.ParseFloat(fields[1], 64); err == nil {
-			name := strings.TrimPrefix(strings.ReplaceAll(fields[0], ".", "_"), "medlaryard_")
-			counters[name] = int64(n)
+			name := strings.TrimPrefix(fields[0], "medlaryard_")
+			counters[strings.TrimSuffix(name, "_total")] = int64(n)
 		}
 	}
 	return counters, lines.Err()
--- a/standin/load/generator.go
+++ b/standin/load/generator.go
@@ -38,7 +38,7 @@
 		ledger: newLedger(),
 		report: newReport(),
 	}
-	before, err := fetchExtra(cfg.Operators)
+	before, err := fetchExtra(cfg.Operators, cfg.Searchers)
 	if err != nil {
 		return nil, err
 	}
@@ -163,7 +163,7 @@
 // finish reads the counters and the searchers' records.
 func (g *generator) finish(before Extra) error {
 	if len(g.cfg.Operators) > 0 {
-		after, err := fetchExtra(g.cfg.Operators)
+		after, err := fetchExtra(g.cfg.Operators, g.cfg.Searchers)
 		if err != nil {
 			return err
 		}
@@ -173,8 +173,8 @@
 	if g.cfg.Searchers == "" {
 		return nil
 	}
-	runs, err := fetchRuns(g.cfg.Searchers)
-	if err != nil {
+	var runs map[string]int
+	if err := fetchJSON("http://"+g.cfg.Searchers+"/admin/runs", &runs); err != nil {
 		return err
 	}
 	for _, f := range g.ledger.faults(runs) {
--- a/standin/load/generator_test.go
+++ b/standin/load/generator_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -47,8 +48,10 @@
 		reply = wireAnswer{ID: req.ID, Outcome: "done"}
 	case "/admin/runs":
 		reply = d.runs
+	case "/admin/records":
+		reply = map[string]any{"a": map[string]int{"received": 7 + d.queries}, "b": map[string]int{"received": d.queries}}
 	case "/metrics":
-		_, _ = w.Write([]byte("home.sent " + strings.Repeat("1", 1+d.queries/100) + "\nhome.hedge.sent 1\n"))
+		fmt.Fprintf(w, "# TYPE x counter\nmedlaryard_home_hedge_sent_total %d\nmedlaryard_home_retried_overloaded_total 3\n", 2+d.queries/100)
 		return
 	}
 	_ = json.NewEncoder(w).Encode(reply)
@@ -79,8 +82,8 @@
 	if d.asked != 1 || d.queries+len(d.runs) != 200 || len(d.runs) == 0 {
 		t.Errorf("addresses asked %d times, %d queries, %d runs", d.asked, d.queries, len(d.runs))
 	}
-	if report.Extra() == nil || report.Extra().SubRequests != 10 || report.Extra().Hedges != 0 {
-		t.Errorf("extra sub-requests %+v, want 10 sent and no hedges", report.Extra())
+	if e := report.Extra(); e == nil || *e != (Extra{SubRequests: int64(2 * d.queries), Hedges: 1}) {
+		t.Errorf("extra sub-requests %+v, want %d received and one hedge", e, 2*d.queries)
 	}
 }
 
--- a/standin/load/report.go
+++ b/standin/load/report.go
@@ -80,7 +80,9 @@
 	}
 	if r.extra != nil {
 		row("sub-requests", "%d", r.extra.SubRequests)
-		row("extra sub-requests", "%d (%.2f%%)", r.extra.Hedges+r.extra.Retries, 100*r.extra.Ratio())
+		row("hedges", "%d", r.extra.Hedges)
+		row("retries", "%d", r.extra.Retries)
+		row("extra sub-requests", "%.2f%%", 100*r.extra.Ratio())
 	}
 	row("false answers", "%d", r.faults)
 	for _, d := range r.details {
--- a/standin/load/runs.go
+++ b/standin/load/runs.go
@@ -1,12 +1,8 @@
 package load
 
 import (
-	"context"
-	"encoding/json"
 	"fmt"
-	"net/http"
 	"sync"
-	"time"
 )
 
 // ledger holds what the caller learnt about each non-idempotent request, for
@@ -59,23 +55,3 @@
 	}
 	return ""
 }
-
-// fetchRuns reads the runs of each identifier from the searchers.
-func fetchRuns(address string) (map[string]int, error) {
-	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
-	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/admin/runs", nil)
-	if err != nil {
-		return nil, err
-	}
-	resp, err := http.DefaultClient.Do(req)
-	if err != nil {
-		return nil, err
-	}
-	defer resp.Body.Close()
-	runs := make(map[string]int)
-	if err := json.NewDecoder(resp.Body).Decode(&runs); err != nil {
-		return nil, fmt.Errorf("runs from %s: %w", address, err)
-	}
-	return runs, nil
-}
