--- a/standin/load/generator.go
+++ b/standin/load/generator.go
@@ -66,7 +66,7 @@
 		select {
 		case room <- struct{}{}:
 		default:
-			g.report.answer(wireAnswer{Kind: kindNotSent}, 0, false)
+			g.report.answer(g.report.queries, wireAnswer{Kind: kindNotSent}, 0, false)
 			continue
 		}
 		wg.Go(func() {
@@ -112,7 +112,7 @@
 func (g *generator) query(ctx context.Context, p plan, intended time.Time) {
 	first, _, err := g.book.pick(ctx)
 	if err != nil {
-		g.report.answer(wireAnswer{Kind: kindNoAddress}, 0, false)
+		g.report.answer(g.report.queries, wireAnswer{Kind: kindNoAddress}, 0, false)
 		return
 	}
 	a := g.sender.send(first, "/v1/query", p.request)
@@ -121,7 +121,7 @@
 	if a.Kind == "" {
 		g.report.fault(g.check.fault(p.request, a))
 	}
-	g.report.answer(a, latency, a.Coverage.Total > 0 && a.Coverage.Documents == a.Coverage.Total)
+	g.report.answer(g.report.queries, a, latency, a.Coverage.Total > 0 && a.Coverage.Documents == a.Coverage.Total)
 }
 
 // run sends a non-idempotent request. A resend goes to the same daemon while
@@ -129,7 +129,7 @@
 func (g *generator) run(ctx context.Context, p plan, intended time.Time) {
 	first, other, err := g.book.pick(ctx)
 	if err != nil {
-		g.report.answer(wireAnswer{Kind: kindNoAddress}, 0, false)
+		g.report.answer(g.report.runs, wireAnswer{Kind: kindNoAddress}, 0, false)
 		return
 	}
 	p.request.Ticket = &first.ticket
@@ -144,7 +144,7 @@
 	if p.resend {
 		g.sendRun(other, p.request)
 	}
-	g.report.answer(a, latency, true)
+	g.report.answer(g.report.runs, a, latency, true)
 }
 
 func (g *generator) sendRun(t target, r wireRequest) wireAnswer {
--- a/standin/load/report.go
+++ b/standin/load/report.go
@@ -21,7 +21,8 @@
 // Report is the result of a run.
 type Report struct {
 	mu       sync.Mutex
-	latency  *hdrhistogram.Histogram
+	queries  *hdrhistogram.Histogram // Latency of answers to queries.
+	runs     *hdrhistogram.Histogram // Latency of outcomes of non-idempotent requests.
 	sent     int
 	answered int
 	full     int
@@ -33,11 +34,16 @@
 
 func newReport() *Report {
 	return &Report{
-		latency: hdrhistogram.New(1, maxLatency.Microseconds(), digits),
+		queries: newHistogram(),
+		runs:    newHistogram(),
 		refused: make(map[string]int),
 	}
 }
 
+func newHistogram() *hdrhistogram.Histogram {
+	return hdrhistogram.New(1, maxLatency.Microseconds(), digits)
+}
+
 // Sent returns the number of requests.
 func (r *Report) Sent() int { return r.sent }
 
@@ -53,9 +59,12 @@
 // Faults returns the number of false answers and the first of them in words.
 func (r *Report) Faults() (int, []string) { return r.faults, r.details }
 
-// Quantile returns a quantile of the latency of answers, from their intended start.
-func (r *Report) Quantile(percent float64) time.Duration {
-	return time.Duration(r.latency.ValueAtPercentile(percent)) * time.Microsecond
+// Quantile returns a quantile of the latency of answers to queries, from their
+// intended start.
+func (r *Report) Quantile(percent float64) time.Duration { return quantile(r.queries, percent) }
+
+func quantile(h *hdrhistogram.Histogram, percent float64) time.Duration {
+	return time.Duration(h.ValueAtPercentile(percent)) * time.Microsecond
 }
 
 // Extra returns the sub-requests of the daemons during the run, nil when they
@@ -70,10 +79,17 @@
 	}
 	row("requests", "%d", r.sent)
 	row("answered", "%d", r.answered)
-	for _, q := range []float64{50, 95, 99} {
-		row(fmt.Sprintf("p%g", q), "%.1f ms", ms(r.Quantile(q)))
+	latencies := func(of string, h *hdrhistogram.Histogram) {
+		if h.TotalCount() == 0 {
+			return
+		}
+		for _, q := range []float64{50, 95, 99} {
+			row(fmt.Sprintf("%s p%g", of, q), "%.1f ms", ms(quantile(h, q)))
+		}
+		row(of+" max", "%.1f ms", ms(time.Duration(h.Max())*time.Microsecond))
 	}
-	row("max", "%.1f ms", ms(time.Duration(r.latency.Max())*time.Microsecond))
+	latencies("query", r.queries)
+	latencies("run", r.runs)
 	row("full coverage", "%.3f%% of requests", percent(r.full, r.sent))
 	for _, kind := range sortedKeys(r.refused) {
 		row("refused "+kind, "%d", r.refused[kind])
@@ -91,7 +107,7 @@
 }
 
 // answer records one answer that arrived after latency.
-func (r *Report) answer(a wireAnswer, latency time.Duration, full bool) {
+func (r *Report) answer(h *hdrhistogram.Histogram, a wireAnswer, latency time.Duration, full bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.sent++
@@ -103,7 +119,7 @@
 	if full {
 		r.full++
 	}
-	_ = r.latency.RecordValue(min(latency, maxLatency).Microseconds())
+	_ = h.RecordValue(min(latency, maxLatency).Microseconds())
 }
 
 func (r *Report) fault(detail string) {
