--- a/cell/adopt.go
+++ b/cell/adopt.go
@@ -33,12 +33,12 @@
 // offerLocked adopts m if it is newer and its homes can be computed. Otherwise
 // m waits, because homes computed from another catalogue could overlap.
 func (c *Cell) offerLocked(now time.Duration, m *membership) {
-	if !m.newer(c.view.m) {
+	if m.contradicts(c.view.m) {
+		meter.Count("cell.refused.membership", 1)
+		log.Warn().Uint64("epoch", m.epoch).Uint64("term", m.term).Msg("refused a membership that cannot follow")
 		return
 	}
-	if v := c.view.m; v != nil && (m.epoch-v.epoch > maxStep || m.term-v.term > maxStep) {
-		meter.Count("cell.refused.membership", 1)
-		log.Warn().Uint64("epoch", m.epoch).Uint64("term", m.term).Msg("refused a membership that is too far ahead")
+	if !m.newer(c.view.m) {
 		return
 	}
 	if m.digest == 0 || c.config.find(m.digest) != nil || c.view.table == nil {
@@ -76,6 +76,9 @@
 	self := c.self.Name()
 	before := c.view.owned(self)
 	kept := c.view.fullGroups(now, self)
+	if now >= c.view.live() {
+		c.view.stamp++
+	}
 	c.pending.m = nil
 	c.view.m, c.view.settled, c.view.recorded = m, false, false
 	c.view.kept, c.view.granted = kept, make(map[string]bool)
@@ -84,6 +87,7 @@
 	c.fillTableLocked()
 	if _, ok := m.member(c.self.Incarnation()); !ok {
 		c.view.lease, c.view.still, c.view.minor, c.view.kept = 0, 0, 0, nil
+		c.view.stamp++
 	}
 	c.stopLocked(missing(before, c.view.owned(self)))
 	c.changed = true
