standin: refuse unknown faults; tell known cold starts from unknown ones

A trial set the fault "down" on the object store, which has no such field, and ran without the fault. A searcher that turns cold without warning is in a cold start that nobody can know of, so its peak is recorded apart from the time after the first sign.

--- a/standin/objects/handler.go
+++ b/standin/objects/handler.go
@@ -67,7 +67,10 @@
 
 func (h *Handler) setFaults(w http.ResponseWriter, r *http.Request) {
 	var f Faults
-	if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
+	d := json.NewDecoder(r.Body)
+	// A fault with a wrong name would make a test pass without the fault.
+	d.DisallowUnknownFields()
+	if err := d.Decode(&f); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
--- a/standin/searchers/admin.go
+++ b/standin/searchers/admin.go
@@ -97,7 +97,10 @@
 
 func change[T any](a *Admin, w http.ResponseWriter, r *http.Request, apply func(*Searcher, T)) {
 	var v T
-	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBodyBytes)).Decode(&v); err != nil {
+	d := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	// A fault with a wrong name would make a test pass without the fault.
+	d.DisallowUnknownFields()
+	if err := d.Decode(&v); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
--- a/standin/searchers/config.go
+++ b/standin/searchers/config.go
@@ -55,6 +55,9 @@
 	coldSlowdown = 3
 	// collapseTime is how long a collapsed searcher answers nothing.
 	collapseTime = time.Second
+	// noticeGrace is the time for which requests that were sent before the first
+	// sign of a cold start may still arrive.
+	noticeGrace = 100 * time.Millisecond
 	// defaultLimit is the number of hits without X-Limit.
 	defaultLimit = 100
 	// sigma is the spread of lognormal service times; 0.5 puts the 0.99
--- a/standin/searchers/handler.go
+++ b/standin/searchers/handler.go
@@ -34,6 +34,9 @@
 	Ran      string `json:"ran"`
 }
 
+// stateCold is the state of a searcher in a cold start in health replies.
+const stateCold = "cold"
+
 type wireHealth struct {
 	State     string         `json:"state"`
 	Version   string         `json:"version"`
@@ -100,6 +103,9 @@
 		Shard:     s.cfg.Shard,
 		Snapshots: []wireSnapshot{},
 	}
+	if h.State == stateCold {
+		s.noticeLocked()
+	}
 	held := s.snapshots
 	s.mu.Unlock()
 	for _, k := range held {
@@ -116,7 +122,7 @@
 	case s.draining:
 		return "draining"
 	case s.cold:
-		return "cold"
+		return stateCold
 	default:
 		return "ready"
 	}
--- a/standin/searchers/record.go
+++ b/standin/searchers/record.go
@@ -21,6 +21,9 @@
 	PeakInFlight       int `json:"peak_in_flight"`
 	// PeakCold is the highest number of requests in flight during a cold start.
 	PeakCold int `json:"peak_cold"`
+	// PeakColdKnown is the same from noticeGrace after the first sign of the
+	// cold start: a broken connection, a health reply or a slow answer.
+	PeakColdKnown int `json:"peak_cold_known"`
 	// AfterDrain counts requests that arrived while draining, and LastAfterDrain
 	// is how long after the drain began the last of them arrived.
 	AfterDrain     int           `json:"after_drain"`
--- a/standin/searchers/searcher.go
+++ b/standin/searchers/searcher.go
@@ -26,6 +26,7 @@
 	boots     int
 	cold      bool
 	warmed    int           // Answers since the cold start.
+	noticed   time.Duration // First sign of the cold start, 0 before it.
 	collapsed time.Duration // Nothing is answered until this reading of the clock.
 	downUntil time.Duration
 	draining  bool
@@ -112,7 +113,7 @@
 func (s *Searcher) Chill() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.cold, s.warmed = true, 0
+	s.cold, s.warmed, s.noticed = true, 0, 0
 }
 
 // Silence makes all connections that are established now silent for good.
@@ -126,7 +127,7 @@
 func (s *Searcher) Crash() {
 	s.mu.Lock()
 	s.boots++
-	s.cold, s.warmed = true, 0
+	s.cold, s.warmed, s.noticed = true, 0, s.clock.Boot()
 	s.downUntil = s.clock.Boot() + s.cfg.RestartTime
 	s.record.Crashes++
 	s.mu.Unlock()
@@ -160,6 +161,13 @@
 	s.record.PeakConnections = max(s.record.PeakConnections, open)
 }
 
+// noticeLocked records a sign of the cold start that the other side receives now.
+func (s *Searcher) noticeLocked() {
+	if s.cold && s.noticed == 0 {
+		s.noticed = s.clock.Boot()
+	}
+}
+
 func (s *Searcher) bootLocked() string { return fmt.Sprintf("%s-%d", s.cfg.Name, s.boots) }
 
 // chance draws a random fault.
--- a/standin/searchers/searcher_test.go
+++ b/standin/searchers/searcher_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync"
 	"testing"
@@ -87,6 +88,9 @@
 // Guards against a cold searcher that bears any load, which would hide a tier
 // that floods it, and against one that never becomes warm.
 func TestColdStart(t *testing.T) {
+	if s := start(t, Config{StartCold: true}); s.noticed != 0 {
+		t.Error("a cold start was noticed before any sign")
+	}
 	s := start(t, Config{StartCold: true, ColdLimit: 1, WarmAfter: 2, Slots: 4})
 	c := &http.Client{}
 	for range 2 {
@@ -100,8 +104,13 @@
 	s.Chill()
 	s.admit(&call{})
 	s.admit(&call{})
-	if r := s.Record(); r.Collapses != 1 || r.PeakCold != 2 {
-		t.Errorf("%d collapses at %d in flight, want 1 at 2", r.Collapses, r.PeakCold)
+	if r := s.Record(); r.Collapses != 1 || r.PeakCold != 2 || r.PeakColdKnown != 0 {
+		t.Errorf("%d collapses at %d in flight, %d after a sign, want 1 at 2 and 0", r.Collapses, r.PeakCold, r.PeakColdKnown)
+	}
+	s.noticed = s.clock.Boot() - 2*noticeGrace
+	s.admit(&call{})
+	if r := s.Record(); r.PeakColdKnown != 3 {
+		t.Errorf("%d in flight after a sign, want 3", r.PeakColdKnown)
 	}
 }
 
@@ -215,3 +224,16 @@
 		}
 	}
 }
+
+// Guards against a misspelt fault that is ignored, so that a test passes
+// without it.
+func TestUnknownFaultIsRefused(t *testing.T) {
+	a := NewAdmin(&Fleet{searchers: []*Searcher{start(t, Config{})}})
+	for body, want := range map[string]int{`{"down":true}`: 200, `{"outage":true}`: 400} {
+		w := httptest.NewRecorder()
+		a.ServeHTTP(w, httptest.NewRequest(http.MethodPost, "/admin/faults?name=one", strings.NewReader(body)))
+		if w.Code != want {
+			t.Errorf("%s: status %d, want %d", body, w.Code, want)
+		}
+	}
+}
--- a/standin/searchers/work.go
+++ b/standin/searchers/work.go
@@ -77,6 +77,9 @@
 	s.record.PeakInFlight = max(s.record.PeakInFlight, s.inFlight)
 	if s.cold {
 		s.record.PeakCold = max(s.record.PeakCold, s.inFlight)
+		if s.noticed != 0 && now > s.noticed+noticeGrace {
+			s.record.PeakColdKnown = max(s.record.PeakColdKnown, s.inFlight)
+		}
 		if s.inFlight > s.cfg.ColdLimit {
 			s.record.Collapses++
 			s.warmed = 0
@@ -132,6 +135,7 @@
 		s.record.Errors++
 		return outcome{status: http.StatusInternalServerError}
 	}
+	s.noticeLocked()
 	s.record.Answered++
 	s.warmed++
 	if s.cold && s.warmed >= s.cfg.WarmAfter {
--- a/standin/vms/server.go
+++ b/standin/vms/server.go
@@ -146,7 +146,9 @@
 }
 
 func decode(w http.ResponseWriter, r *http.Request, into any) bool {
-	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, 1<<20)).Decode(into); err != nil {
+	d := json.NewDecoder(http.MaxBytesReader(w, r.Body, 1<<20))
+	d.DisallowUnknownFields()
+	if err := d.Decode(into); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return false
 	}
