standin/load: the searchers' records in the report; dead daemons do not end a run

The table now shows connections refused at the cap, collapses in a cold start and work after a drain, by the searchers' own records. Counters of a daemon that is killed during a run cannot be read afterwards, which ended the run with an error.

--- a/standin/load/generator.go
+++ b/standin/load/generator.go
@@ -38,7 +38,7 @@
 		ledger: newLedger(),
 		report: newReport(),
 	}
-	before, err := fetchExtra(cfg.Operators, cfg.Searchers)
+	before, err := g.readings()
 	if err != nil {
 		return nil, err
 	}
@@ -49,6 +49,22 @@
 	return g.report, nil
 }
 
+// readings are the counters of daemons and searchers at one time.
+type readings struct {
+	counters []counters
+	witness  Witness
+}
+
+func (g *generator) readings() (readings, error) {
+	r := readings{counters: fetchAllCounters(g.cfg.Operators)}
+	if g.cfg.Searchers == "" {
+		return r, nil
+	}
+	var err error
+	r.witness, err = fetchWitness(g.cfg.Searchers)
+	return r, err
+}
+
 func (g *generator) sendAll(ctx context.Context) {
 	rng := rand.New(rand.NewPCG(g.cfg.Seed, 2))
 	room := make(chan struct{}, g.cfg.MaxInFlight)
@@ -160,19 +176,21 @@
 	}
 }
 
-// finish reads the counters and the searchers' records.
-func (g *generator) finish(before Extra) error {
+// finish reads the counters again and compares outcomes with runs.
+func (g *generator) finish(before readings) error {
+	after, err := g.readings()
+	if err != nil {
+		return err
+	}
+	extra, witness := extraBetween(before.counters, after.counters), after.witness.since(before.witness)
+	extra.SubRequests = witness.Received
 	if len(g.cfg.Operators) > 0 {
-		after, err := fetchExtra(g.cfg.Operators, g.cfg.Searchers)
-		if err != nil {
-			return err
-		}
-		extra := after.minus(before)
 		g.report.extra = &extra
 	}
 	if g.cfg.Searchers == "" {
 		return nil
 	}
+	g.report.witness = &witness
 	var runs map[string]int
 	if err := fetchJSON("http://"+g.cfg.Searchers+"/admin/runs", &runs); err != nil {
 		return err
--- a/standin/load/report.go
+++ b/standin/load/report.go
@@ -30,6 +30,7 @@
 	faults   int
 	details  []string
 	extra    *Extra
+	witness  *Witness
 }
 
 func newReport() *Report {
@@ -71,6 +72,9 @@
 // were not read.
 func (r *Report) Extra() *Extra { return r.extra }
 
+// Witness returns the searchers' records during the run, nil when they were not read.
+func (r *Report) Witness() *Witness { return r.witness }
+
 // WriteMarkdown writes the report as a table.
 func (r *Report) WriteMarkdown(w io.Writer) {
 	fmt.Fprintln(w, "| Measure | Value |\n|---|---|")
@@ -94,10 +98,20 @@
 	for _, kind := range sortedKeys(r.refused) {
 		row("refused "+kind, "%d", r.refused[kind])
 	}
+	if w := r.witness; w != nil {
+		row("sub-requests", "%d", w.Received)
+		row("refused connections", "%d", w.RefusedConnections)
+		row("crashes", "%d", w.Crashes)
+		row("collapses in a cold start", "%d", w.Collapses)
+		row("peak in flight in a known cold start", "%d", w.PeakColdKnown)
+		row("work after a drain", "%d, last after %.1f s", w.AfterDrain, w.LastAfterDrain.Seconds())
+	}
 	if r.extra != nil {
-		row("sub-requests", "%d", r.extra.SubRequests)
 		row("hedges", "%d", r.extra.Hedges)
 		row("retries", "%d", r.extra.Retries)
+		row("daemons not read", "%d", r.extra.Unread)
+	}
+	if r.extra != nil && r.witness != nil {
 		row("extra sub-requests", "%.2f%%", 100*r.extra.Ratio())
 	}
 	row("false answers", "%d", r.faults)
