--- a/cell/elect.go
+++ b/cell/elect.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"github.com/rs/zerolog/log"
 
 	"medlaryard.example/medlaryard/meter"
@@ -28,17 +29,15 @@
 	if c.keeper != nil || c.leaving || x.running {
 		return
 	}
-	rank := c.rankLocked()
-	if !c.beat.unheard(now) {
-		if !(c.beat.refused && rank == 0) {
-			x.looked = false
-			x.next = min(x.next, now)
-			return
-		}
+	if !c.beat.unheard(now) && !(c.beat.refused && c.rankLocked() == 0) {
+		x.looked = false
+		x.next = min(x.next, now)
+		return
 	}
 	if now < x.next {
 		return
 	}
+	rank := c.rankLocked()
 	x.running = true
 	x.next = now + candidateInterval
 	if rank >= firstCandidates && c.view.m != nil {
@@ -86,7 +85,11 @@
 	version := store.Absent
 	if err == nil {
 		version = obj.Version()
-		if o, m, err = decodeObject(obj.Value(), c.cfg.cell); err != nil {
+		o, m, err = decodeObject(obj.Value(), c.cfg.cell)
+		if err == nil && m.contradicts(c.view.m) {
+			err = eris.Errorf("term %d epoch %d cannot follow term %d epoch %d", m.term, m.epoch, c.view.m.term, c.view.m.epoch)
+		}
+		if err != nil {
 			meter.Count("cell.refused.object", 1)
 			log.Warn().Err(err).Msg("refused the cell object")
 			o, m = nil, nil
@@ -151,7 +154,8 @@
 	next.term, next.epoch, next.keeper = m.term+1, m.epoch+1, c.self
 	next.previous = union(m.members, m.previous)
 	if settled {
-		next.previous, next.base, next.baseEpoch = m.members, m.members, m.epoch
+		next.previous, next.baseEpoch = staying(m.members), m.epoch
+		next.base = next.previous
 	}
 	next.members = slices.DeleteFunc(slices.Clone(m.members), func(x Member) bool {
 		return x.Name() == c.self.Name()
--- a/cell/keeper.go
+++ b/cell/keeper.go
@@ -103,7 +103,9 @@
 		} else if _, held := findMember(k.cur.previous, id); held {
 			k.heard[id] = &hearing{epoch: epoch}
 		}
-		if len(k.joiners) < maxMembers && !from.Leaving() {
+		// A daemon that takes itself for a member sends no more than its identity;
+		// it sends the rest once it knows the epoch that lacks it.
+		if len(k.joiners) < maxMembers && !from.Leaving() && from.Domain() != "" {
 			k.joiners[from.Name()] = joiner{from, now}
 		}
 		return false
@@ -113,7 +115,8 @@
 		h = &hearing{}
 		k.heard[id] = h
 	}
-	h.at, h.epoch, h.leaving = now, max(h.epoch, epoch), from.Leaving()
+	// A message that was sent earlier may arrive later; leaving is final.
+	h.at, h.epoch, h.leaving = now, max(h.epoch, epoch), h.leaving || from.Leaving()
 	return true
 }
 
@@ -178,16 +181,14 @@
 // gone returns whether the VM list has dropped the VM of a member. A VM that
 // the list has not shown to this keeper may be too new for it.
 func (c *Cell) gone() func(Member) bool {
-	names, known := c.cfg.vms()
-	if !known {
-		return func(Member) bool { return false }
-	}
-	for _, m := range c.keeper.cur.members {
-		if names[m.Name()] {
-			c.keeper.listed[m.Incarnation()] = true
+	seen := c.keeper.listed
+	return func(m Member) bool {
+		listed, known := c.cfg.vms(m.Name())
+		if listed {
+			seen[m.Incarnation()] = true
 		}
+		return known && !listed && seen[m.Incarnation()]
 	}
-	return func(m Member) bool { return c.keeper.listed[m.Incarnation()] && !names[m.Name()] }
 }
 
 // keepLocked does the keeper's periodic work.
@@ -205,8 +206,12 @@
 		return
 	}
 	if k.grants(now) {
+		gone := c.gone()
+		for _, m := range k.cur.members {
+			gone(m) // Notes which VMs the list shows.
+		}
 		if !k.settled {
-			k.settle(now, c.gone())
+			k.settle(now, gone)
 		}
 		if next := k.plan(now, c.config.digest(), c.config.doc.Generation); next != nil {
 			c.writeLocked(now, next, false)
@@ -241,7 +246,7 @@
 	next.generation, next.digest = generation, digest
 	next.previous = k.holders()
 	if k.settled {
-		next.base, next.baseEpoch = k.cur.members, k.cur.epoch
+		next.base, next.baseEpoch = staying(k.cur.members), k.cur.epoch
 	}
 	if len(next.previous) > maxHolders {
 		meter.Count("cell.epoch.deferred", 1)
@@ -253,7 +258,7 @@
 // holders returns all that may be homes by the current or an earlier epoch.
 func (k *keeper) holders() []Member {
 	if k.settled {
-		return k.cur.members
+		return staying(k.cur.members)
 	}
 	held := slices.DeleteFunc(slices.Clone(k.cur.previous), func(m Member) bool {
 		return k.acked(m.Incarnation())
@@ -267,8 +272,8 @@
 	var out []Member
 	for _, m := range k.cur.members {
 		self := m.Incarnation() == k.cur.keeper.Incarnation()
-		if h := k.heard[m.Incarnation()]; h != nil && h.leaving != m.Leaving() {
-			m = m.withLeaving(h.leaving)
+		if h := k.heard[m.Incarnation()]; h != nil && h.leaving {
+			m = m.withLeaving(true)
 		}
 		if self || !k.lapsed(now, m.Incarnation()) && !k.superseded(now, m) {
 			out = append(out, m)
