--- a/command/apply.go
+++ b/command/apply.go
@@ -21,11 +21,13 @@
 	Store  string   `required:"" placeholder:"IP:PORT" env:"MEDLARYARD_STORE" help:"Object store to write to."`
 	Author string   `env:"MEDLARYARD_AUTHOR" help:"Name that stands with the change. The default is the user name and host name."`
 	Based  *uint64  `placeholder:"GENERATION" help:"Generation that the change is based on, 0 for the first. If another one is in force, nothing is changed. The default is the one in force at the start of the command."`
+
+	waitFlags `embed:""`
 }
 
 // Help adds to the help text.
 func (*applyCommand) Help() string {
-	return "Checks the files, shows the difference to what is in force, and replaces it by a conditional update. A lost reply of the store is resolved by reading back. Applying what is in force changes nothing and succeeds. Every daemon has the change within 4 s while the store is reachable."
+	return "Checks the files, shows the difference to what is in force, and replaces it by a conditional update. A lost reply of the store is resolved by reading back. Applying what is in force changes nothing and succeeds. The design has every daemon use the change within 4 s while the store is reachable; --wait makes sure."
 }
 
 // Run puts the files in force.
@@ -60,10 +62,10 @@
 	}
 	if next.Generation() == based {
 		fmt.Fprintf(env.Stdout, "unchanged: generation %d\n", based)
-		return nil
+	} else {
+		fmt.Fprintf(env.Stdout, "applied: generation %d\n", next.Generation())
 	}
-	fmt.Fprintf(env.Stdout, "applied: generation %d\n", next.Generation())
-	return nil
+	return c.wait(env, next.Generation())
 }
 
 func (c *applyCommand) author() string {
