cell: a keeper that hears only a minority yields

A keeper in a minority that still reached the store removed the majority, which then served nothing for as long as the partition lasted. It now lets a member that reaches a majority take over, waits 10 s for that before it removes the silent ones, and settles nothing meanwhile. Candidates that did not reply lately no longer delay the others. Ruled out: giving the lease up, which would stop the survivors when the majority has crashed.

--- a/cell/elect.go
+++ b/cell/elect.go
@@ -46,7 +46,8 @@
 	c.later(func() { c.look(rank) })
 }
 
-// rankLocked is the place of this daemon among the candidates for the next term.
+// rankLocked is the place of this daemon among the candidates for the next
+// term, of which those that did not reply lately do not count.
 func (c *Cell) rankLocked() int {
 	m := c.view.m
 	if m == nil {
@@ -55,7 +56,7 @@
 	key := c.cfg.cell + "/" + strconv.FormatUint(m.term, 10)
 	var list []Member
 	for _, x := range m.members {
-		if !x.Leaving() && x.Incarnation() != m.keeper.Incarnation() {
+		if !x.Leaving() && x.Incarnation() != m.keeper.Incarnation() && !c.poll.missed(x, c.self) {
 			list = append(list, x)
 		}
 	}
@@ -109,7 +110,8 @@
 		return
 	}
 	x.running = true
-	c.later(func() { c.takeOver(next, version) })
+	yields := o != nil && o.Yields
+	c.later(func() { c.takeOver(next, version, yields) })
 }
 
 func (c *Cell) mayTakeOverLocked(now time.Duration, rank int, o *object, m *membership, version uint64) bool {
@@ -122,6 +124,8 @@
 		return true
 	case m != nil && m.keeper.Incarnation() == c.self.Incarnation():
 		return true
+	case m != nil && o.Yields && c.poll.reaches(now, m):
+		return idle >= time.Duration(rank)*rankDelay
 	case m != nil && o.Released:
 		return idle >= time.Duration(rank)*rankDelay
 	default:
@@ -167,7 +171,8 @@
 	return &next
 }
 
-func (c *Cell) takeOver(next *membership, expected uint64) {
+// takeOver writes the first epoch of the next term.
+func (c *Cell) takeOver(next *membership, expected uint64, yields bool) {
 	sent := c.cfg.clk.Boot()
 	o := newObject(next)
 	o.Token = c.cfg.token()
@@ -194,7 +199,12 @@
 	}
 	meter.Count("cell.takeover", 1)
 	log.Info().Str("cell", c.cfg.cell).Uint64("term", next.term).Msg("became keeper")
-	c.keeper = newKeeper(next, obj.Version(), now, sent)
+	since := now
+	if yields {
+		// The keeper before may grant leases until its last write expires.
+		since += storeLease
+	}
+	c.keeper = newKeeper(next, obj.Version(), since, sent)
 	c.adoptLocked(now, next)
 	c.announceLocked(next)
 	c.beat.next = 0
--- a/cell/keeper.go
+++ b/cell/keeper.go
@@ -24,8 +24,10 @@
 	listed    map[string]bool   // Incarnations whose VM the VM list has shown.
 	ackedAt   time.Duration     // When a majority of the base had acknowledged cur; 0 before.
 	settled   bool
-	told      bool // The object says that cur is settled.
-	stopped   bool // The lease is given up.
+	told      bool          // The object says that cur is settled.
+	stopped   bool          // The lease is given up.
+	yields    bool          // Another keeper may have taken over; false again once a write without it took effect.
+	cutSince  time.Duration // When the majority went silent; 0 while it is heard.
 	writing   bool
 	nextRenew time.Duration
 	lastEpoch time.Duration
@@ -45,11 +47,11 @@
 	at time.Duration
 }
 
-func newKeeper(m *membership, version uint64, now, sent time.Duration) *keeper {
+func newKeeper(m *membership, version uint64, since, sent time.Duration) *keeper {
 	return &keeper{
-		cur: m, version: version, lease: sent + storeLease, since: now,
+		cur: m, version: version, lease: sent + storeLease, since: since,
 		heard: make(map[string]*hearing), joiners: make(map[string]joiner), listed: make(map[string]bool),
-		nextRenew: now + renewInterval, lastEpoch: now, lastTick: now,
+		nextRenew: sent + renewInterval, lastEpoch: sent, lastTick: sent,
 	}
 }
 
@@ -141,6 +143,10 @@
 // before have ended after standstillTime.
 func (k *keeper) settle(now time.Duration, gone func(Member) bool) bool {
 	dead := func(m Member) bool { return k.lapsed(now, m.Incarnation()) && (gone(m) || k.replaced(m)) }
+	if k.yields {
+		// Members may hold homes by epochs of another keeper.
+		return false
+	}
 	if k.ackedAt == 0 {
 		if !majority(k.cur.base, func(m Member) bool { return k.acked(m.Incarnation()) || dead(m) }) {
 			return k.settleAll(dead)
@@ -202,6 +208,7 @@
 		k.since = now
 	}
 	k.lastTick = now
+	k.listen(now)
 	if k.writing || k.stopped {
 		return
 	}
@@ -275,7 +282,7 @@
 		if h := k.heard[m.Incarnation()]; h != nil && h.leaving {
 			m = m.withLeaving(true)
 		}
-		if self || !k.lapsed(now, m.Incarnation()) && !k.superseded(now, m) {
+		if self || k.waits(now) || !k.lapsed(now, m.Incarnation()) && !k.superseded(now, m) {
 			out = append(out, m)
 		} else {
 			log.Info().Str("member", m.Name()).Msg("member removed from the next epoch")
@@ -307,9 +314,40 @@
 	if !ok || j.m.Incarnation() == m.Incarnation() || j.m.PeerAddress() != m.PeerAddress() {
 		return false
 	}
+	return k.silent(now, m)
+}
+
+// silent reports whether m has missed two heartbeats.
+func (k *keeper) silent(now time.Duration, m Member) bool {
 	at := k.since
 	if h := k.heard[m.Incarnation()]; h != nil {
 		at = max(at, h.at)
 	}
 	return now-at >= silentTime
 }
+
+// listen notes whether the members that are silent could be a majority with
+// another keeper, and has the store say so.
+func (k *keeper) listen(now time.Duration) {
+	list := staying(k.cur.members)
+	quiet := 0
+	for _, m := range list {
+		if m.Incarnation() != k.cur.keeper.Incarnation() && k.silent(now, m) {
+			quiet++
+		}
+	}
+	switch {
+	case quiet <= len(list)/2:
+		k.cutSince = 0
+	case k.cutSince == 0:
+		k.cutSince = now
+	}
+	if (k.cutSince != 0) != k.yields {
+		k.nextRenew = min(k.nextRenew, now)
+	}
+}
+
+// waits reports whether the keeper leaves the majority time to find another keeper.
+func (k *keeper) waits(now time.Duration) bool {
+	return k.cutSince != 0 && now-k.cutSince < yieldTime
+}
--- a/cell/limits.go
+++ b/cell/limits.go
@@ -35,6 +35,9 @@
 	inputsWait = 2 * time.Second
 	// silentTime makes a member replaceable by another incarnation of its name.
 	silentTime = 1200 * time.Millisecond
+	// yieldTime is how long a keeper that hears only a minority waits for one
+	// that reaches the majority before it removes those that it does not hear.
+	yieldTime = 10 * time.Second
 	// peerTime bounds a peer call.
 	peerTime = time.Second
 	// storeTime bounds a store call.
--- a/cell/object.go
+++ b/cell/object.go
@@ -17,6 +17,7 @@
 	Digest     uint64   `json:"digest"`
 	Settled    bool     `json:"settled"`  // No home of an earlier epoch remains.
 	Released   bool     `json:"released"` // The keeper gave up its lease.
+	Yields     bool     `json:"yields"`   // The keeper hears only a minority; a member that reaches a majority may take over.
 	Renewal    uint64   `json:"renewal"`
 	Token      string   `json:"token"`
 	Keeper     int      `json:"keeper"`
--- a/cell/poll.go
+++ b/cell/poll.go
@@ -14,11 +14,14 @@
 	since      time.Duration
 	seed       int // Next seed to ask.
 	seeding    bool
+	last       *round // The round before the current one.
+	current    *round
 }
 
 // round is one time of asking all members.
 type round struct {
 	sent  time.Duration
+	self  string // Incarnation of the one that asks.
 	m     *membership
 	same  map[string]bool // Incarnations that know no later epoch.
 	store bool            // One of them sees the store.
@@ -26,7 +29,7 @@
 
 func (c *Cell) pollLocked(now time.Duration) {
 	if !c.beat.unheard(now) {
-		c.poll.standstill = false
+		c.poll.standstill, c.poll.last, c.poll.current = false, nil, nil
 		return
 	}
 	if now < c.poll.next {
@@ -37,10 +40,11 @@
 	if c.view.m == nil {
 		return
 	}
-	r := &round{sent: now, m: c.view.m, same: make(map[string]bool), store: c.contact.seesStore(now)}
+	r := &round{sent: now, self: c.self.Incarnation(), m: c.view.m, same: make(map[string]bool), store: c.contact.seesStore(now)}
 	if _, ok := r.m.member(c.self.Incarnation()); !ok {
 		return
 	}
+	c.poll.last, c.poll.current = c.poll.current, r
 	c.countLocked(now, r)
 	for _, m := range union(r.m.members, r.m.base) {
 		if m.Incarnation() != c.self.Incarnation() {
@@ -49,6 +53,19 @@
 	}
 }
 
+// missed reports whether m did not reply in the last complete round.
+func (p *poll) missed(m, self Member) bool {
+	return p.last != nil && m.Incarnation() != self.Incarnation() && !p.last.same[m.Incarnation()]
+}
+
+// reaches reports whether a majority of m replied lately.
+func (p *poll) reaches(now time.Duration, m *membership) bool {
+	r := p.last
+	return r != nil && now-r.sent < 3*pollInterval && majority(staying(m.members), func(x Member) bool {
+		return r.self == x.Incarnation() || r.same[x.Incarnation()]
+	})
+}
+
 func (c *Cell) askMemberLocked(r *round, m Member) {
 	in := c.syncRequestLocked()
 	c.later(func() {
--- a/cell/scenario_test.go
+++ b/cell/scenario_test.go
@@ -224,5 +224,25 @@
 		})
 		f.kill(n.pos)
 	}
+	// The last daemon learns with its next heartbeat that the others stopped.
+	f.run(beatInterval+tickInterval, f.check)
 	f.steady(20*time.Second, "homes of the last", func() error { return f.homes(lease.Full, f.ids) })
 }
+
+// Guards against a keeper that is cut off with a minority but still reaches the
+// store: it removed the majority, which then served nothing.
+func TestKeeperInMinority(t *testing.T) {
+	f := running(t, 7)
+	k := f.keeper()
+	o := f.other(k)
+	kept := slices.DeleteFunc(slices.Clone(f.ids), func(id string) bool { return k.has(id)+o.has(id) >= lease.Full })
+	for _, n := range f.nodes {
+		if n != k && n != o {
+			f.cut[pair(k.pos, n.pos)], f.cut[pair(o.pos, n.pos)] = true, true
+		}
+	}
+	f.steady(20*time.Second, "homes of the majority", func() error { return f.homes(lease.Full, kept) })
+	f.want(10*time.Second, "all homes", func() error { return f.homes(lease.Full, f.ids) })
+	clear(f.cut)
+	f.want(10*time.Second, "return of the minority", f.whole)
+}
--- a/cell/write.go
+++ b/cell/write.go
@@ -18,6 +18,7 @@
 	m        *membership
 	settled  bool
 	released bool
+	yields   bool
 }
 
 func (c *Cell) key() string { return "cell/" + c.cfg.cell }
@@ -29,13 +30,14 @@
 	k.writing = true
 	k.nextRenew = now + renewInterval
 	k.renewal++
-	a := attempt{token: c.cfg.token(), sent: now, m: m, settled: k.settled && m == k.cur, released: released}
+	a := attempt{token: c.cfg.token(), sent: now, m: m, settled: k.settled && m == k.cur, released: released, yields: k.cutSince != 0}
+	k.yields = k.yields || a.yields
 	k.attempts = append(k.attempts, a)
 	if len(k.attempts) > maxAttempts {
 		k.attempts = k.attempts[1:]
 	}
 	o := newObject(m)
-	o.Token, o.Renewal, o.Settled, o.Released = a.token, k.renewal, a.settled, released
+	o.Token, o.Renewal, o.Settled, o.Released, o.Yields = a.token, k.renewal, a.settled, released, a.yields
 	expected := k.version
 	c.later(func() {
 		defer func() {
@@ -132,7 +134,7 @@
 		k.since = now
 	}
 	k.version, k.lease, k.told = version, max(k.lease, a.sent+storeLease), a.settled
-	k.attempts = nil
+	k.attempts, k.yields = nil, a.yields
 	if a.released {
 		c.deposeLocked(now, "the keeper is leaving")
 		return
