--- a/cell/limits.go
+++ b/cell/limits.go
@@ -27,14 +27,17 @@
 	// standstillTime is the lease that one such round gives, from the time it was sent.
 	standstillTime = 2500 * time.Millisecond
 	// bridgeTime is how long a majority extends leases while the store answers.
-	// It covers the replacement of a keeper, which takes storeLease and margin
-	// and a few calls.
-	bridgeTime = 10 * time.Second
+	// It covers the replacement of a keeper by a slow store: storeLease, margin
+	// and several calls of up to storeTime, twice.
+	bridgeTime = 30 * time.Second
 	// inputsWait is how long a new epoch waits for the catalogue that its homes
 	// were computed from.
 	inputsWait = 2 * time.Second
 	// silentTime makes a member replaceable by another incarnation of its name.
 	silentTime = 1200 * time.Millisecond
+	// yieldTime is how long a keeper that hears only a minority waits for one
+	// that reaches the majority before it removes those that it does not hear.
+	yieldTime = 10 * time.Second
 	// peerTime bounds a peer call.
 	peerTime = time.Second
 	// storeTime bounds a store call.
