--- a/standin/load/generator_test.go
+++ b/standin/load/generator_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -47,8 +48,10 @@
 		reply = wireAnswer{ID: req.ID, Outcome: "done"}
 	case "/admin/runs":
 		reply = d.runs
+	case "/admin/records":
+		reply = map[string]any{"a": map[string]int{"received": 7 + d.queries}, "b": map[string]int{"received": d.queries}}
 	case "/metrics":
-		_, _ = w.Write([]byte("home.sent " + strings.Repeat("1", 1+d.queries/100) + "\nhome.hedge.sent 1\n"))
+		fmt.Fprintf(w, "# TYPE x counter\nmedlaryard_home_hedge_sent_total %d\nmedlaryard_home_retried_overloaded_total 3\n", 2+d.queries/100)
 		return
 	}
 	_ = json.NewEncoder(w).Encode(reply)
@@ -63,11 +66,12 @@
 }
 
 // Guards against requests that are lost or counted twice, addresses that are
-// asked for again within their time, and counters that are not read.
+// asked for again within their time, counters that are not read, and a killed
+// daemon whose counters end the run.
 func TestEveryRequestIsCounted(t *testing.T) {
 	d := startDaemon(t, 60_000)
 	report, err := Run(context.Background(), Config{
-		Daemons: []string{d.self}, Operators: []string{d.self}, Searchers: d.self,
+		Daemons: []string{d.self}, Operators: []string{d.self, "127.0.0.1:1"}, Searchers: d.self,
 		Rate: 5000, Count: 200, Corpus: d.corpus, RunRatio: 0.1,
 	})
 	if err != nil {
@@ -79,8 +83,8 @@
 	if d.asked != 1 || d.queries+len(d.runs) != 200 || len(d.runs) == 0 {
 		t.Errorf("addresses asked %d times, %d queries, %d runs", d.asked, d.queries, len(d.runs))
 	}
-	if report.Extra() == nil || report.Extra().SubRequests != 10 || report.Extra().Hedges != 0 {
-		t.Errorf("extra sub-requests %+v, want 10 sent and no hedges", report.Extra())
+	if e := report.Extra(); e == nil || *e != (Extra{SubRequests: int64(2 * d.queries), Hedges: 1, Unread: 1}) {
+		t.Errorf("extra sub-requests %+v, want %d received and one hedge", e, 2*d.queries)
 	}
 }
 
