--- /dev/null
+++ b/daemon/logging_test.go
@@ -0,0 +1,42 @@
+package daemon
+
+import (
+	"bytes"
+	"encoding/json"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"medlaryard.example/medlaryard/meter"
+)
+
+// Guards against a storm of lines that fills the log, against lines of another
+// level that the storm hides, and against a drop that no counter shows.
+func TestStormOfLinesIsLimited(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	var out bytes.Buffer
+	l := zerolog.New(&out).Sample(newLineLimit(func() time.Time { return now }))
+	dropped := meter.Value("log.dropped.warn")
+	for range 1000 {
+		l.Warn().Str("service", "songs").Msg("storm")
+	}
+	l.Error().Msg("rare")
+	now = now.Add(time.Second)
+	l.Warn().Msg("later")
+	lines := make(map[string]int)
+	dec := json.NewDecoder(&out)
+	for dec.More() {
+		var line struct{ Message string }
+		if err := dec.Decode(&line); err != nil {
+			t.Fatal(err)
+		}
+		lines[line.Message]++
+	}
+	if lines["storm"] != linesPerSecond || lines["rare"] != 1 || lines["later"] != 1 {
+		t.Errorf("lines %v", lines)
+	}
+	if n := meter.Value("log.dropped.warn") - dropped; n != 1000-linesPerSecond {
+		t.Errorf("%d lines counted as dropped", n)
+	}
+}
--- a/entry/fanout.go
+++ b/entry/fanout.go
@@ -192,10 +192,8 @@
 	}
 	for _, i := range lanes {
 		if l := &f.p.lanes[i]; !l.merged && l.pending > 0 {
-			if l.reason == refusal.None {
-				l.fail(kind, refusal.Unknown, "no answer in time")
-			}
-			l.ran = refusal.Unknown // The pending send may have run.
+			// The pending send may have run.
+			l.fail(kind, refusal.Unknown, "no answer in time")
 		}
 	}
 }
--- a/entry/random_test.go
+++ b/entry/random_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"medlaryard.example/medlaryard/catalogue"
+	"medlaryard.example/medlaryard/meter"
 	"medlaryard.example/medlaryard/refusal"
 	"medlaryard.example/medlaryard/shard"
 )
@@ -21,6 +22,7 @@
 // reordered or wrongly labelled.
 func TestRandomisedAnswersEqualTheReference(t *testing.T) {
 	var total tally
+	restarts := meter.Value("entry.retried.snapshot_gone")
 	for seed := range uint64(60) {
 		synctest.Test(t, func(t *testing.T) {
 			w := newWorld(t, seed)
@@ -31,9 +33,10 @@
 			time.Sleep(5 * time.Second) // Late calls end.
 		})
 	}
-	t.Logf("%d complete, %d partial, %d refused", total.complete, total.partial, total.refused)
-	if total.complete == 0 || total.partial == 0 || total.refused == 0 {
-		t.Errorf("run did not reach all kinds of answer: %+v", total)
+	restarts = meter.Value("entry.retried.snapshot_gone") - restarts
+	t.Logf("%d complete, %d partial, %d refused, %d restarts", total.complete, total.partial, total.refused, restarts)
+	if total.complete == 0 || total.partial == 0 || total.refused == 0 || restarts == 0 {
+		t.Errorf("run did not reach all kinds of answer: %+v, %d restarts", total, restarts)
 	}
 }
 
