--- a/command/command_test.go
+++ b/command/command_test.go
@@ -175,11 +175,11 @@
 		_, _ = io.WriteString(w, `{
 			"daemon": {"name": "n", "state": "serving", "since": "2026-01-01T00:00:00Z", "domain": "d", "region": "r", "in_flight": 2},
 			"cell": {"cell": "main", "epoch": 3, "members": 7, "keeper": "k", "asked_generation": 5, "in_force_generation": 4, "in_force_since": "2026-01-01T00:00:00Z", "author": "a", "refused": "faulty"},
-			"services": [{"name": "s", "in_force": "generation 4", "policy": "current", "groups": [
+			"services": [{"name": "s", "in_force": "generation 4", "policy": "current", "moves": [{"name": "m", "from": "v1", "to": "v2", "phase": "running", "share": 0.05, "since": "2026-01-01T00:00:00Z", "reason": "no fault in 80 requests"}], "groups": [
 				{"id": "s/00/0", "share": "full", "queued": 3, "searchers": [{"name": "x", "state": "warm"}, {"name": "y", "state": "cold"}]},
 				{"id": "s/01/0", "share": "reserved", "asked": "full", "why_not": "not released"},
 				{"id": "s/02/0", "share": "none", "searchers": [{"name": "z", "state": "unknown"}]}]}],
-			"moves": [{"name": "m", "phase": "rolled back"}]}`)
+			"events": [{"name": "m", "kind": "new"}]}`)
 	}))
 	defer d.Close()
 	address := strings.TrimPrefix(d.URL, "http://")
@@ -187,11 +187,12 @@
 cell main: epoch 3, 7 members, keeper k, store not reachable
 catalogue: generation 4 in force since 2026-01-01T00:00:00Z by a; generation 5 is refused: faulty
 service s: generation 4, policy current, 3 groups (1 full, 1 none, 1 reserved), 3 queued, 0 in flight, searchers: 1 cold, 1 warm
+  move m from v1 to v2: running, share 5% since 2026-01-01T00:00:00Z: no fault in 80 requests
   searcher y: cold
   group s/01/0: reserved instead of full: not released
-moves:
+events:
 - name: m
-  phase: rolled back
+  kind: new
 `, "")
 	run(nil, "", "status", "--all", "--operator="+address).want(t, command.OK, "name: z\n", "")
 }
--- a/command/statusreply.go
+++ b/command/statusreply.go
@@ -41,9 +41,20 @@
 	InForce string       `json:"in_force"`
 	WhyNot  string       `json:"why_not"`
 	Policy  string       `json:"policy"`
+	Moves   []moveReply  `json:"moves"`
 	Groups  []groupReply `json:"groups"`
 }
 
+type moveReply struct {
+	Name   string    `json:"name"`
+	From   string    `json:"from"`
+	To     string    `json:"to"`
+	Phase  string    `json:"phase"`
+	Share  float64   `json:"share"`
+	Since  time.Time `json:"since"`
+	Reason string    `json:"reason"`
+}
+
 type groupReply struct {
 	ID        string                `json:"id"`
 	Home      string                `json:"home"`
--- a/command/statustext.go
+++ b/command/statustext.go
@@ -72,6 +72,10 @@
 	}
 	fmt.Fprintf(w, "service %s: %s, policy %s, %d groups (%s), %d queued, %d in flight, searchers: %s\n",
 		s.Name, s.InForce, s.Policy, len(s.Groups), counts(shares), queued, inFlight, counts(states))
+	for _, m := range s.Moves {
+		fmt.Fprintf(w, "  move %s from %s to %s: %s, share %g%% since %s%s\n",
+			m.Name, m.From, m.To, m.Phase, 100*m.Share, timeText(m.Since), reasonText(m.Reason))
+	}
 	lines := conspicuous(s)
 	for _, l := range lines[:min(len(lines), maxConspicuous)] {
 		fmt.Fprintln(w, "  "+l)
@@ -160,3 +164,10 @@
 		return fmt.Sprintf("; generation %d is not in force yet", c.Asked)
 	}
 }
+
+func reasonText(reason string) string {
+	if reason == "" {
+		return ""
+	}
+	return ": " + reason
+}
