--- a/standin/load/extra.go
+++ b/standin/load/extra.go
@@ -2,19 +2,20 @@
 
 import (
 	"bufio"
-	"context"
-	"fmt"
-	"net/http"
+	"bytes"
 	"strconv"
 	"strings"
-	"time"
 )
 
-// Extra is the number of sub-requests that homes sent to searchers.
+// Extra is the number of sub-requests, as the searchers received them, and of
+// those that were hedges and retries, as the daemons count them.
 type Extra struct {
 	SubRequests int64
 	Hedges      int64
 	Retries     int64
+	// Unread is the number of daemons whose counters could not be read, for
+	// example because they were killed during the run.
+	Unread int
 }
 
 // Ratio is the share of hedges and retries among all sub-requests.
@@ -22,23 +23,33 @@
 	return float64(e.Hedges+e.Retries) / float64(max(1, e.SubRequests))
 }
 
-func (e Extra) minus(o Extra) Extra {
-	return Extra{e.SubRequests - o.SubRequests, e.Hedges - o.Hedges, e.Retries - o.Retries}
+// counters are the counters of one daemon by name, nil when it did not answer.
+type counters map[string]int64
+
+func fetchAllCounters(operators []string) []counters {
+	all := make([]counters, len(operators))
+	for i, address := range operators {
+		if c, err := fetchCounters(address); err == nil {
+			all[i] = c
+		}
+	}
+	return all
 }
 
-// fetchExtra sums the counters of all daemons. Counter names may be written
-// with dots or underscores.
-func fetchExtra(operators []string) (Extra, error) {
+// extraBetween sums what the daemons counted between two readings. A daemon
+// that restarted in between began at 0 again.
+func extraBetween(before, after []counters) Extra {
 	var sum Extra
-	for _, address := range operators {
-		counters, err := fetchCounters(address)
-		if err != nil {
-			return sum, err
+	for i := range after {
+		if before[i] == nil || after[i] == nil {
+			sum.Unread++
+			continue
 		}
-		for name, n := range counters {
+		for name, n := range after[i] {
+			if earlier := before[i][name]; earlier <= n {
+				n -= earlier
+			}
 			switch {
-			case name == "home_sent":
-				sum.SubRequests += n
 			case name == "home_hedge_sent":
 				sum.Hedges += n
 			case strings.HasPrefix(name, "home_retried_"):
@@ -46,35 +57,25 @@
 			}
 		}
 	}
-	return sum, nil
+	return sum
 }
 
-func fetchCounters(address string) (map[string]int64, error) {
-	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
-	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/metrics", nil)
+func fetchCounters(address string) (counters, error) {
+	data, err := fetch("http://" + address + "/metrics")
 	if err != nil {
 		return nil, err
 	}
-	resp, err := http.DefaultClient.Do(req)
-	if err != nil {
-		return nil, err
-	}
-	defer resp.Body.Close()
-	if resp.StatusCode != http.StatusOK {
-		return nil, fmt.Errorf("metrics of %s: status %d", address, resp.StatusCode)
-	}
-	counters := make(map[string]int64)
-	lines := bufio.NewScanner(resp.Body)
+	read := make(counters)
+	lines := bufio.NewScanner(bytes.NewReader(data))
 	for lines.Scan() {
 		fields := strings.Fields(lines.Text())
 		if len(fields) != 2 || strings.HasPrefix(fields[0], "#") {
 			continue
 		}
 		if n, err := strconv.ParseFloat(fields[1], 64); err == nil {
-			name := strings.TrimPrefix(strings.ReplaceAll(fields[0], ".", "_"), "medlaryard_")
-			counters[name] = int64(n)
+			name := strings.TrimPrefix(fields[0], "medlaryard_")
+			read[strings.TrimSuffix(name, "_total")] = int64(n)
 		}
 	}
-	return counters, lines.Err()
+	return read, lines.Err()
 }
--- a/standin/load/generator.go
+++ b/standin/load/generator.go
@@ -38,7 +38,7 @@
 		ledger: newLedger(),
 		report: newReport(),
 	}
-	before, err := fetchExtra(cfg.Operators)
+	before, err := g.readings()
 	if err != nil {
 		return nil, err
 	}
@@ -49,6 +49,22 @@
 	return g.report, nil
 }
 
+// readings are the counters of daemons and searchers at one time.
+type readings struct {
+	counters []counters
+	witness  Witness
+}
+
+func (g *generator) readings() (readings, error) {
+	r := readings{counters: fetchAllCounters(g.cfg.Operators)}
+	if g.cfg.Searchers == "" {
+		return r, nil
+	}
+	var err error
+	r.witness, err = fetchWitness(g.cfg.Searchers)
+	return r, err
+}
+
 func (g *generator) sendAll(ctx context.Context) {
 	rng := rand.New(rand.NewPCG(g.cfg.Seed, 2))
 	room := make(chan struct{}, g.cfg.MaxInFlight)
@@ -66,7 +82,7 @@
 		select {
 		case room <- struct{}{}:
 		default:
-			g.report.answer(wireAnswer{Kind: kindNotSent}, 0, false)
+			g.report.answer(g.report.queries, wireAnswer{Kind: kindNotSent}, 0, false)
 			continue
 		}
 		wg.Go(func() {
@@ -112,7 +128,7 @@
 func (g *generator) query(ctx context.Context, p plan, intended time.Time) {
 	first, _, err := g.book.pick(ctx)
 	if err != nil {
-		g.report.answer(wireAnswer{Kind: kindNoAddress}, 0, false)
+		g.report.answer(g.report.queries, wireAnswer{Kind: kindNoAddress}, 0, false)
 		return
 	}
 	a := g.sender.send(first, "/v1/query", p.request)
@@ -121,7 +137,7 @@
 	if a.Kind == "" {
 		g.report.fault(g.check.fault(p.request, a))
 	}
-	g.report.answer(a, latency, a.Coverage.Total > 0 && a.Coverage.Documents == a.Coverage.Total)
+	g.report.answer(g.report.queries, a, latency, a.Coverage.Total > 0 && a.Coverage.Documents == a.Coverage.Total)
 }
 
 // run sends a non-idempotent request. A resend goes to the same daemon while
@@ -129,7 +145,7 @@
 func (g *generator) run(ctx context.Context, p plan, intended time.Time) {
 	first, other, err := g.book.pick(ctx)
 	if err != nil {
-		g.report.answer(wireAnswer{Kind: kindNoAddress}, 0, false)
+		g.report.answer(g.report.runs, wireAnswer{Kind: kindNoAddress}, 0, false)
 		return
 	}
 	p.request.Ticket = &first.ticket
@@ -144,7 +160,7 @@
 	if p.resend {
 		g.sendRun(other, p.request)
 	}
-	g.report.answer(a, latency, true)
+	g.report.answer(g.report.runs, a, latency, true)
 }
 
 func (g *generator) sendRun(t target, r wireRequest) wireAnswer {
@@ -160,21 +176,23 @@
 	}
 }
 
-// finish reads the counters and the searchers' records.
-func (g *generator) finish(before Extra) error {
+// finish reads the counters again and compares outcomes with runs.
+func (g *generator) finish(before readings) error {
+	after, err := g.readings()
+	if err != nil {
+		return err
+	}
+	extra, witness := extraBetween(before.counters, after.counters), after.witness.since(before.witness)
+	extra.SubRequests = witness.Received
 	if len(g.cfg.Operators) > 0 {
-		after, err := fetchExtra(g.cfg.Operators)
-		if err != nil {
-			return err
-		}
-		extra := after.minus(before)
 		g.report.extra = &extra
 	}
 	if g.cfg.Searchers == "" {
 		return nil
 	}
-	runs, err := fetchRuns(g.cfg.Searchers)
-	if err != nil {
+	g.report.witness = &witness
+	var runs map[string]int
+	if err := fetchJSON("http://"+g.cfg.Searchers+"/admin/runs", &runs); err != nil {
 		return err
 	}
 	for _, f := range g.ledger.faults(runs) {
