--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -51,6 +51,7 @@
 	operators *server
 	listeners listeners
 
+	viewMu  sync.Mutex // Serialises changes of view.
 	view    atomic.Pointer[view]
 	changed chan struct{}
 	strikes *herald
--- a/daemon/view.go
+++ b/daemon/view.go
@@ -47,7 +47,11 @@
 	}
 }
 
+// refreshView is called by the loop and by the shutdown; a view built before the
+// daemon began to leave must not replace a later one.
 func (d *daemon) refreshView() {
+	d.viewMu.Lock()
+	defer d.viewMu.Unlock()
 	v := &view{homes: make(map[string][]entry.Home), members: make(map[string]entry.Home)}
 	v.estate, v.known = d.cell.Estate()
 	homes := make(map[string]entry.Home)
--- a/entry/yard_test.go
+++ b/entry/yard_test.go
@@ -154,12 +154,15 @@
 	if err != nil {
 		return none, err
 	}
-	got := make(chan R, 1)
+	got, reset := make(chan R, 1), make(chan struct{})
 	go func() {
 		time.Sleep(time.Duration(n.y.random(5)) * time.Millisecond)
 		if !d.settle() {
 			return
 		}
+		if n.y.random(20) == 0 {
+			close(reset) // The call goes on at the other process.
+		}
 		r := f(d)
 		if d.settle() && n.y.random(20) != 0 {
 			got <- r
@@ -168,6 +171,8 @@
 	select {
 	case r := <-got:
 		return r, nil
+	case <-reset:
+		return none, refusal.New(refusal.HomeUnreachable, "connection reset")
 	case <-ctx.Done():
 		return none, refusal.New(refusal.HomeUnreachable, "no reply")
 	}
