--- a/standin/load/generator.go
+++ b/standin/load/generator.go
@@ -169,9 +169,10 @@
 	return a
 }
 
-// heed asks for addresses again when an answer or a broken connection advises it.
+// heed asks for addresses again when an answer, a broken connection or silence
+// advises it.
 func (g *generator) heed(a wireAnswer) {
-	if a.Kind == kindConnection || a.Retry == "address" {
+	if a.Kind == kindConnection || a.Kind == kindTimeout || a.Retry == "address" {
 		g.book.expire()
 	}
 }
