--- a/command/command_test.go
+++ b/command/command_test.go
@@ -117,6 +117,28 @@
 	}
 }
 
+// Guards against a wait that reports success while a daemon has an older
+// generation, or that goes on after a daemon has refused the change.
+func TestApplyWaits(t *testing.T) {
+	tests := []struct {
+		name, status string
+		code         command.Code
+		out, stderr  string
+	}{
+		{"in force", `{"cell": {"asked_generation": 1, "in_force_generation": 1}}`, command.OK, "applied: generation 1\nin force: generation 1 on 1 daemons\n", ""},
+		{"not yet", `{"cell": {"asked_generation": 1, "in_force_generation": 0}}`, command.Failed, "applied: generation 1\n", "has generation 0 in force"},
+		{"refused", `{"cell": {"asked_generation": 1, "refused": "faulty"}}`, command.Failed, "applied: generation 1\n", "refuses generation 1: faulty"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			d := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, tt.status) }))
+			defer d.Close()
+			run(&oneObject{}, "", "apply", small, "--store=x", "--wait=5s", "--operator="+strings.TrimPrefix(d.URL, "http://")).want(t, tt.code, tt.out, tt.stderr)
+		})
+	}
+	run(&oneObject{}, "", "apply", small, "--store=x", "--wait=1s").want(t, command.Usage, "", "needs --operator")
+}
+
 // Guards against settings that serve accepts although they are faulty.
 func TestServeChecksSettings(t *testing.T) {
 	file := filepath.Join(t.TempDir(), "settings.yaml")
@@ -153,11 +175,11 @@
 		_, _ = io.WriteString(w, `{
 			"daemon": {"name": "n", "state": "serving", "since": "2026-01-01T00:00:00Z", "domain": "d", "region": "r", "in_flight": 2},
 			"cell": {"cell": "main", "epoch": 3, "members": 7, "keeper": "k", "asked_generation": 5, "in_force_generation": 4, "in_force_since": "2026-01-01T00:00:00Z", "author": "a", "refused": "faulty"},
-			"services": [{"name": "s", "in_force": "generation 4", "policy": "current", "groups": [
+			"services": [{"name": "s", "in_force": "generation 4", "policy": "current", "moves": [{"name": "m", "from": "v1", "to": "v2", "phase": "running", "share": 0.05, "since": "2026-01-01T00:00:00Z", "reason": "no fault in 80 requests"}], "groups": [
 				{"id": "s/00/0", "share": "full", "queued": 3, "searchers": [{"name": "x", "state": "warm"}, {"name": "y", "state": "cold"}]},
 				{"id": "s/01/0", "share": "reserved", "asked": "full", "why_not": "not released"},
 				{"id": "s/02/0", "share": "none", "searchers": [{"name": "z", "state": "unknown"}]}]}],
-			"moves": [{"name": "m", "phase": "rolled back"}]}`)
+			"events": [{"name": "m", "kind": "new"}]}`)
 	}))
 	defer d.Close()
 	address := strings.TrimPrefix(d.URL, "http://")
@@ -165,19 +187,23 @@
 cell main: epoch 3, 7 members, keeper k, store not reachable
 catalogue: generation 4 in force since 2026-01-01T00:00:00Z by a; generation 5 is refused: faulty
 service s: generation 4, policy current, 3 groups (1 full, 1 none, 1 reserved), 3 queued, 0 in flight, searchers: 1 cold, 1 warm
+  move m from v1 to v2: running, share 5% since 2026-01-01T00:00:00Z: no fault in 80 requests
   searcher y: cold
   group s/01/0: reserved instead of full: not released
-moves:
+events:
 - name: m
-  phase: rolled back
+  kind: new
 `, "")
 	run(nil, "", "status", "--all", "--operator="+address).want(t, command.OK, "name: z\n", "")
 }
 
-// instant is a clock whose timers fire at once.
+// instant is a clock that goes forward by each wait instead of waiting.
 type instant struct{ *clocktest.Manual }
 
-func (c instant) NewTimer(time.Duration) clock.Timer { return c.Manual.NewTimer(0) }
+func (c instant) NewTimer(d time.Duration) clock.Timer {
+	c.Advance(d)
+	return c.Manual.NewTimer(0)
+}
 
 // Guards against a watch that ends when a daemon is restarted, or that goes on
 // after an interrupt.
