--- a/standin/load/report.go
+++ b/standin/load/report.go
@@ -21,7 +21,8 @@
 // Report is the result of a run.
 type Report struct {
 	mu       sync.Mutex
-	latency  *hdrhistogram.Histogram
+	queries  *hdrhistogram.Histogram // Latency of answers to queries.
+	runs     *hdrhistogram.Histogram // Latency of outcomes of non-idempotent requests.
 	sent     int
 	answered int
 	full     int
@@ -29,15 +30,21 @@
 	faults   int
 	details  []string
 	extra    *Extra
+	witness  *Witness
 }
 
 func newReport() *Report {
 	return &Report{
-		latency: hdrhistogram.New(1, maxLatency.Microseconds(), digits),
+		queries: newHistogram(),
+		runs:    newHistogram(),
 		refused: make(map[string]int),
 	}
 }
 
+func newHistogram() *hdrhistogram.Histogram {
+	return hdrhistogram.New(1, maxLatency.Microseconds(), digits)
+}
+
 // Sent returns the number of requests.
 func (r *Report) Sent() int { return r.sent }
 
@@ -53,15 +60,21 @@
 // Faults returns the number of false answers and the first of them in words.
 func (r *Report) Faults() (int, []string) { return r.faults, r.details }
 
-// Quantile returns a quantile of the latency of answers, from their intended start.
-func (r *Report) Quantile(percent float64) time.Duration {
-	return time.Duration(r.latency.ValueAtPercentile(percent)) * time.Microsecond
+// Quantile returns a quantile of the latency of answers to queries, from their
+// intended start.
+func (r *Report) Quantile(percent float64) time.Duration { return quantile(r.queries, percent) }
+
+func quantile(h *hdrhistogram.Histogram, percent float64) time.Duration {
+	return time.Duration(h.ValueAtPercentile(percent)) * time.Microsecond
 }
 
 // Extra returns the sub-requests of the daemons during the run, nil when they
 // were not read.
 func (r *Report) Extra() *Extra { return r.extra }
 
+// Witness returns the searchers' records during the run, nil when they were not read.
+func (r *Report) Witness() *Witness { return r.witness }
+
 // WriteMarkdown writes the report as a table.
 func (r *Report) WriteMarkdown(w io.Writer) {
 	fmt.Fprintln(w, "| Measure | Value |\n|---|---|")
@@ -70,17 +83,36 @@
 	}
 	row("requests", "%d", r.sent)
 	row("answered", "%d", r.answered)
-	for _, q := range []float64{50, 95, 99} {
-		row(fmt.Sprintf("p%g", q), "%.1f ms", ms(r.Quantile(q)))
+	latencies := func(of string, h *hdrhistogram.Histogram) {
+		if h.TotalCount() == 0 {
+			return
+		}
+		for _, q := range []float64{50, 95, 99} {
+			row(fmt.Sprintf("%s p%g", of, q), "%.1f ms", ms(quantile(h, q)))
+		}
+		row(of+" max", "%.1f ms", ms(time.Duration(h.Max())*time.Microsecond))
 	}
-	row("max", "%.1f ms", ms(time.Duration(r.latency.Max())*time.Microsecond))
+	latencies("query", r.queries)
+	latencies("run", r.runs)
 	row("full coverage", "%.3f%% of requests", percent(r.full, r.sent))
 	for _, kind := range sortedKeys(r.refused) {
 		row("refused "+kind, "%d", r.refused[kind])
 	}
+	if w := r.witness; w != nil {
+		row("sub-requests", "%d", w.Received)
+		row("refused connections", "%d", w.RefusedConnections)
+		row("crashes", "%d", w.Crashes)
+		row("collapses in a cold start", "%d", w.Collapses)
+		row("peak in flight in a known cold start", "%d", w.PeakColdKnown)
+		row("work after a drain", "%d, last after %.1f s", w.AfterDrain, w.LastAfterDrain.Seconds())
+	}
 	if r.extra != nil {
-		row("sub-requests", "%d", r.extra.SubRequests)
-		row("extra sub-requests", "%d (%.2f%%)", r.extra.Hedges+r.extra.Retries, 100*r.extra.Ratio())
+		row("hedges", "%d", r.extra.Hedges)
+		row("retries", "%d", r.extra.Retries)
+		row("daemons not read", "%d", r.extra.Unread)
+	}
+	if r.extra != nil && r.witness != nil {
+		row("extra sub-requests", "%.2f%%", 100*r.extra.Ratio())
 	}
 	row("false answers", "%d", r.faults)
 	for _, d := range r.details {
@@ -89,7 +121,7 @@
 }
 
 // answer records one answer that arrived after latency.
-func (r *Report) answer(a wireAnswer, latency time.Duration, full bool) {
+func (r *Report) answer(h *hdrhistogram.Histogram, a wireAnswer, latency time.Duration, full bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.sent++
@@ -101,7 +133,7 @@
 	if full {
 		r.full++
 	}
-	_ = r.latency.RecordValue(min(latency, maxLatency).Microseconds())
+	_ = h.RecordValue(min(latency, maxLatency).Microseconds())
 }
 
 func (r *Report) fault(detail string) {
