home: replace silent connections

Cause: with all established connections of a shard silent, its requests ended at the deadline (TestSilentConnectionsAreReplaced without patience). Change: after the patience without a byte the adapter tests the searcher over a new connection; if that works, the request is sent again within the budget, the old connections are closed and the searcher keeps its health. Baseline keeps to one retry after a true refusal. A shard that is wholly silent is answered at the deadline or refused at once (TestSilentShardIsAnsweredOnTime).

--- a/home/dispatch.go
+++ b/home/dispatch.go
@@ -48,7 +48,11 @@
 
 // consider sends the task, lets it wait or refuses it.
 func (g *group) consider(t *task, now time.Duration) {
-	if t.hedging {
+	switch {
+	case t.silent != nil:
+		g.considerSilent(t)
+		return
+	case t.hedging:
 		g.considerHedge(t, now)
 		return
 	}
@@ -65,10 +69,11 @@
 		return
 	}
 	paid := t.extra()
-	if paid && !g.service.budget.take(0) {
+	if paid && !t.prepaid && !g.service.budget.take(0) {
 		return // The next arrivals earn a token.
 	}
 	g.queue.remove(t)
+	t.prepaid = false
 	if paid {
 		meter.Retried("home", t.retry)
 	}
@@ -123,7 +128,9 @@
 		Deadline:  min(a.t.deadline, g.set.leaseEnd()),
 		Run:       !req.Idempotent(),
 		Body:      req.Body(),
+		Patience:  g.patience(a.t),
 		Permit:    func() *refusal.Error { return g.permit(a) },
+		Silent:    func() { g.silent(a) },
 	})
 }
 
--- a/home/ended.go
+++ b/home/ended.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"medlaryard.example/medlaryard/catalogue"
 	"medlaryard.example/medlaryard/meter"
 	"medlaryard.example/medlaryard/refusal"
 	"medlaryard.example/medlaryard/searcher"
@@ -53,7 +54,12 @@
 	if t.done || len(t.running) > 0 {
 		return
 	}
-	t.hedging = false
+	t.hedging, t.silent = false, nil
+	if a.replaced {
+		t.prepaid, t.retry = true, refusal.SearcherFailed
+		g.requeue(t, f.Error)
+		return
+	}
 	if fault == searcher.FaultNone && f.Ran() == refusal.NotRun {
 		g.unsent(a, f)
 		return
@@ -98,17 +104,19 @@
 	switch {
 	case t.req.Suspect() || t.crashed || t.sends >= maxSends || !g.open():
 		return false
+	case g.policy == catalogue.Baseline && t.sends > 1:
+		return false
 	case f.Ran() == refusal.NotRun && t.ran == refusal.NotRun:
 		return true
 	}
-	return t.repeatable()
+	return g.policy != catalogue.Baseline && t.repeatable()
 }
 
 // judge draws conclusions about the searcher.
 func (g *group) judge(a *attempt, f *searcher.Failure, now time.Duration) {
 	m, t := a.m, a.t
 	switch f.Fault() {
-	case searcher.FaultNone, searcher.FaultShed, searcher.FaultCold, searcher.FaultDraining, searcher.FaultSnapshot:
+	case searcher.FaultNone, searcher.FaultConnection, searcher.FaultShed, searcher.FaultCold, searcher.FaultDraining, searcher.FaultSnapshot:
 	default:
 		if f.Kind() != refusal.Cancelled {
 			g.service.ledger.failed(a.version, t.req.Route())
--- a/home/fake_test.go
+++ b/home/fake_test.go
@@ -33,6 +33,7 @@
 	lying      bool    // Health claims ready whatever the state.
 	draining   bool
 	silent     bool
+	stale      bool // Connections are silent until one was given up.
 	dead       bool
 	poison     string // A request of this route crashes it.
 	wrongLabel bool
@@ -47,11 +48,13 @@
 }
 
 type fakeCall struct {
-	f    *fake
-	call searcher.Call
-	done func(searcher.Reply, *searcher.Failure)
-	runs bool
-	late clock.Timer // Ends the call at its deadline.
+	f        *fake
+	call     searcher.Call
+	done     func(searcher.Reply, *searcher.Failure)
+	runs     bool
+	tested   bool
+	patience clock.Timer
+	late     clock.Timer // Ends the call at its deadline.
 }
 
 func newFake(c *simClock, r *rand.Rand, spec *catalogue.Searcher) *fake {
@@ -101,10 +104,22 @@
 	f.calls[x] = struct{}{}
 	x.late = f.c.AfterFunc(call.Deadline()-f.c.now, func() { x.fail(searcher.FaultSilent, refusal.Deadline, refusal.Unknown) })
 	f.c.AfterFunc(f.hop, x.arrive)
+	if call.Patience() > 0 {
+		x.patience = f.c.AfterFunc(call.Patience(), func() {
+			if !f.silent && !f.dead {
+				x.tested = true
+				call.Silent()
+			}
+		})
+	}
 	return func() {
+		fault := searcher.FaultSilent
+		if x.tested {
+			fault, f.stale = searcher.FaultConnection, false
+		}
 		f.c.AfterFunc(f.hop, func() {
 			x.stop()
-			f.c.AfterFunc(f.hop, func() { x.fail(searcher.FaultSilent, refusal.Cancelled, refusal.Unknown) })
+			f.c.AfterFunc(f.hop, func() { x.fail(fault, refusal.Cancelled, refusal.Unknown) })
 		})
 	}
 }
@@ -115,6 +130,9 @@
 	}
 	delete(x.f.calls, x)
 	x.late.Stop()
+	if x.patience != nil {
+		x.patience.Stop()
+	}
 	x.stop()
 	x.done(r, fl)
 }
@@ -147,7 +165,7 @@
 	case f.dead:
 		x.later(searcher.FaultConnect, refusal.SearcherFailed, refusal.NotRun)
 		return
-	case f.silent:
+	case f.silent || f.stale:
 		return
 	case f.draining:
 		f.lateWork++
--- a/home/task.go
+++ b/home/task.go
@@ -23,7 +23,9 @@
 	running  []*attempt
 	tried    []*member
 	sends    int
-	hedging  bool // It waits for its hedge while an attempt runs.
+	hedging  bool     // It waits for its hedge while an attempt runs.
+	silent   *attempt // Its connection is silent; it waits to be sent over another.
+	prepaid  bool     // Its next send has its token already.
 	crashed  bool
 	warmOnly bool         // A cold searcher refused it; only warm ones may run it.
 	retry    refusal.Kind // Reason of the retry that it waits for.
--- a/home/yard_test.go
+++ b/home/yard_test.go
@@ -47,6 +47,7 @@
 
 	latency []time.Duration // Of complete answers.
 	partial int
+	late    int // Results after the deadline.
 	kinds   map[refusal.Kind]int
 }
 
@@ -146,6 +147,9 @@
 	}
 	return y.sets[i%y.daemons].group(spec.Group).start(shard.NewRequest(spec), func(r shard.Result) {
 		y.kinds[r.Kind()]++
+		if y.c.now > spec.Deadline {
+			y.late++
+		}
 		reply(r)
 	})
 }
--- a/searcher/exchange.go
+++ b/searcher/exchange.go
@@ -143,14 +143,16 @@
 	if !x.conn.wrote.Load() {
 		return endFailure(x.ctx, FaultNone, refusal.NotRun)
 	}
+	fault := FaultSilent
 	if x.silent.Load() {
+		fault = FaultConnection
 		meter.Count("searcher.connection.silent", 1)
 		x.h.pool.expire()
 	}
 	ctx, stop := clock.WithDeadline(context.Background(), x.h.clock, x.h.clock.Boot()+sideTimeout)
 	defer stop()
 	x.h.cancel(ctx, x.call.ID())
-	return endFailure(x.ctx, FaultSilent, refusal.Unknown)
+	return endFailure(x.ctx, fault, refusal.Unknown)
 }
 
 // watch tests the searcher over a new connection once the patience of the call
--- a/searcher/fault.go
+++ b/searcher/fault.go
@@ -27,10 +27,12 @@
 	FaultCrashed
 	// FaultSilent is a connection without any reply until the deadline.
 	FaultSilent
+	// FaultConnection is the same while a new connection to the searcher works.
+	FaultConnection
 )
 
 var faultNames = [...]string{
-	"none", "shed", "cold", "draining", "snapshot", "reply", "status", "connect", "broken", "crashed", "silent",
+	"none", "shed", "cold", "draining", "snapshot", "reply", "status", "connect", "broken", "crashed", "silent", "connection",
 }
 
 // String returns the fault as it stands in counters and logs.
