--- a/home/dispatch.go
+++ b/home/dispatch.go
@@ -124,6 +124,7 @@
 		Shard:     g.shard,
 		Route:     req.Route(),
 		Snapshot:  req.Snapshot(),
+		Limit:     req.Limit(),
 		Announced: a.m.label(req.Snapshot()),
 		Deadline:  min(a.t.deadline, g.set.leaseEnd()),
 		Run:       !req.Idempotent(),
--- a/searcher/call.go
+++ b/searcher/call.go
@@ -17,6 +17,8 @@
 	Route string
 	// Snapshot is the snapshot that must answer; 0 accepts any.
 	Snapshot uint64
+	// Limit is the highest number of hits; 0 leaves it to the searcher.
+	Limit int
 	// Announced is what the searcher announced for Snapshot; nil when unknown.
 	Announced *shard.Label
 	// Deadline is the reading of clock.Clock.Boot at which the call ends.
@@ -56,6 +58,9 @@
 // Snapshot is the snapshot that must answer; 0 accepts any.
 func (c Call) Snapshot() uint64 { return c.spec.Snapshot }
 
+// Limit is the highest number of hits; 0 leaves it to the searcher.
+func (c Call) Limit() int { return c.spec.Limit }
+
 // Announced is what the searcher announced for Snapshot; nil when unknown.
 func (c Call) Announced() *shard.Label { return c.spec.Announced }
 
--- a/searcher/exchange.go
+++ b/searcher/exchange.go
@@ -91,6 +91,9 @@
 	if x.call.Snapshot() != 0 {
 		req.Header.Set("X-Snapshot", strconv.FormatUint(x.call.Snapshot(), 10))
 	}
+	if x.call.Limit() > 0 {
+		req.Header.Set("X-Limit", strconv.Itoa(x.call.Limit()))
+	}
 	remaining := (x.call.Deadline() - x.h.clock.Boot()).Milliseconds()
 	req.Header.Set("X-Deadline-Ms", strconv.FormatInt(max(remaining, 1), 10))
 	req.SetBodyRaw(x.call.Body())
--- /dev/null
+++ b/searcher/http_test.go
@@ -0,0 +1,293 @@
+package searcher
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"medlaryard.example/medlaryard/clock"
+	"medlaryard.example/medlaryard/invariant"
+	"medlaryard.example/medlaryard/refusal"
+	"medlaryard.example/medlaryard/shard"
+)
+
+func TestMain(m *testing.M) {
+	invariant.FatalInTests()
+	m.Run()
+}
+
+const testDeadline = 5 * time.Second
+
+var testLabel = shard.NewLabel(shard.LabelSpec{Snapshot: 7, Map: "m", Low: 10, High: 20, Documents: 5, Total: 50})
+
+func testReply(id string) map[string]any {
+	return map[string]any{
+		"id": id, "shard": "s1", "snapshot": 7, "map": "m", "low": 10, "high": 20, "documents": 5, "total": 50,
+		"version": "v1", "hits": []map[string]any{{"id": "d1", "score": 1.5, "data": map[string]any{"k": 1}}},
+	}
+}
+
+// server is a searcher whose search handler a test replaces.
+type server struct {
+	*httptest.Server
+	search    http.HandlerFunc
+	boot      atomic.Value
+	cancelled chan string
+	mu        sync.Mutex
+	open, max int
+}
+
+func newServer(t *testing.T, search http.HandlerFunc) (*server, *HTTP) {
+	s := &server{search: search, cancelled: make(chan string, 10)}
+	s.boot.Store("b1")
+	mux := http.NewServeMux()
+	mux.HandleFunc("/v1/search", func(w http.ResponseWriter, r *http.Request) { s.search(w, r) })
+	mux.HandleFunc("/v1/cancel", func(_ http.ResponseWriter, r *http.Request) { s.cancelled <- r.Header.Get("X-Request-Id") })
+	mux.HandleFunc("/v1/health", func(w http.ResponseWriter, _ *http.Request) {
+		fmt.Fprintf(w, `{"state":"ready","version":"v1","boot":%q,"inflight":0,"snapshots":[{"snapshot":7,"map":"m","low":10,"high":20,"documents":5,"total":50}]}`, s.boot.Load())
+	})
+	s.Server = httptest.NewUnstartedServer(mux)
+	s.Config.ConnState = func(_ net.Conn, state http.ConnState) {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		switch state {
+		case http.StateNew:
+			s.open++
+			s.max = max(s.max, s.open)
+		case http.StateClosed, http.StateHijacked:
+			s.open--
+		}
+	}
+	s.Start()
+	h := NewHTTP(strings.TrimPrefix(s.URL, "http://"), WithReplyLimit(1<<16))
+	h.pool.resize(4)
+	t.Cleanup(func() {
+		h.pool.close()
+		s.Close()
+	})
+	return s, h
+}
+
+type outcome struct {
+	reply   Reply
+	failure *Failure
+}
+
+func start(h *HTTP, spec CallSpec) (<-chan outcome, func()) {
+	if spec.ID == "" {
+		spec.ID = "q1"
+	}
+	if spec.Deadline == 0 {
+		spec.Deadline = clock.System{}.Boot() + testDeadline
+	}
+	spec.Shard = "s1"
+	out := make(chan outcome, 1)
+	cancel := h.send(NewCall(spec), func(r Reply, f *Failure) { out <- outcome{r, f} })
+	return out, cancel
+}
+
+func serve(change func(m map[string]any)) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		m := testReply(r.Header.Get("X-Request-Id"))
+		change(m)
+		_ = json.NewEncoder(w).Encode(m)
+	}
+}
+
+// hijack writes raw bytes and closes the connection.
+func hijack(raw string) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		c, _, err := w.(http.Hijacker).Hijack()
+		if err != nil {
+			panic(err)
+		}
+		_, _ = c.Write([]byte(raw))
+		_ = c.Close()
+	}
+}
+
+// Guards against merging a reply that does not belong to the call, and against
+// refusals that claim too much about what ran.
+func TestRepliesAreChecked(t *testing.T) {
+	other := shard.NewLabel(shard.LabelSpec{Snapshot: 7, Map: "n", Low: 10, High: 20, Documents: 5, Total: 50})
+	set := func(key string, v any) http.HandlerFunc { return serve(func(m map[string]any) { m[key] = v }) }
+	status := func(code int, header ...string) http.HandlerFunc {
+		return func(w http.ResponseWriter, _ *http.Request) {
+			for i := 0; i < len(header); i += 2 {
+				w.Header().Set(header[i], header[i+1])
+			}
+			w.WriteHeader(code)
+		}
+	}
+	for _, c := range []struct {
+		name      string
+		search    http.HandlerFunc
+		announced *shard.Label
+		fault     Fault
+		kind      refusal.Kind
+		ran       refusal.Ran
+	}{
+		{"sound", set("version", "v2"), &testLabel, FaultNone, refusal.None, ""},
+		{"other request", set("id", "q2"), nil, FaultReply, refusal.BadReply, refusal.Unknown},
+		{"other shard", set("shard", "s2"), nil, FaultReply, refusal.BadReply, refusal.Unknown},
+		{"other snapshot", set("snapshot", 8), nil, FaultReply, refusal.BadReply, refusal.Unknown},
+		{"other map", set("map", "x"), &testLabel, FaultReply, refusal.BadReply, refusal.Unknown},
+		{"other range", set("high", 21), &testLabel, FaultReply, refusal.BadReply, refusal.Unknown},
+		{"not as announced", serve(func(map[string]any) {}), &other, FaultReply, refusal.BadReply, refusal.Unknown},
+		{"empty range", set("low", 20), nil, FaultReply, refusal.BadReply, refusal.Unknown},
+		{"impossible documents", set("documents", 51), nil, FaultReply, refusal.BadReply, refusal.Unknown},
+		{"malformed", hijack("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n{{{"), nil, FaultReply, refusal.BadReply, refusal.Unknown},
+		{"not HTTP", hijack("hello\r\n\r\n"), nil, FaultReply, refusal.BadReply, refusal.Unknown},
+		{"truncated", hijack("HTTP/1.1 200 OK\r\nContent-Length: 300\r\n\r\n{"), nil, FaultReply, refusal.BadReply, refusal.Unknown},
+		{"twice", hijack(strings.Repeat("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}", 2)), nil, FaultReply, refusal.BadReply, refusal.Unknown},
+		{"too large", set("map", strings.Repeat("x", 1<<17)), nil, FaultReply, refusal.TooLarge, refusal.DidRun},
+		{"snapshot gone", status(409), nil, FaultSnapshot, refusal.SnapshotGone, refusal.NotRun},
+		{"shed", status(503, "X-Ran", "no"), nil, FaultShed, refusal.Overloaded, refusal.NotRun},
+		{"cold", status(503, "X-Ran", "no", "X-Reason", "cold"), nil, FaultCold, refusal.Cold, refusal.NotRun},
+		{"draining", status(503, "X-Ran", "no", "X-Reason", "draining"), nil, FaultDraining, refusal.NoSearcher, refusal.NotRun},
+		{"unavailable", status(503), nil, FaultStatus, refusal.SearcherFailed, refusal.Unknown},
+		{"error", status(500), nil, FaultStatus, refusal.SearcherFailed, refusal.Unknown},
+		{"broken", hijack(""), nil, FaultBroken, refusal.SearcherFailed, refusal.Unknown},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			_, h := newServer(t, c.search)
+			out, _ := start(h, CallSpec{Snapshot: 7, Announced: c.announced})
+			o := <-out
+			if c.kind == refusal.None {
+				if o.failure != nil || o.reply.Label() != testLabel || o.reply.Version() != "v2" || len(o.reply.Hits()) != 1 {
+					t.Fatalf("got %+v, %v", o.reply, o.failure)
+				}
+				return
+			}
+			if o.failure == nil || o.failure.Fault() != c.fault || o.failure.Kind() != c.kind || o.failure.Ran() != c.ran {
+				t.Fatalf("got %+v", o.failure)
+			}
+		})
+	}
+}
+
+// Guards against a crash that is taken for a broken connection, after which the
+// request would be sent to the next searcher.
+func TestCrashIsToldFromBrokenConnection(t *testing.T) {
+	s, h := newServer(t, nil)
+	s.search = func(w http.ResponseWriter, r *http.Request) {
+		s.boot.Store("b2")
+		hijack("")(w, r)
+	}
+	health := make(chan *Failure)
+	h.health(func(_ Health, f *Failure) { health <- f })
+	if f := <-health; f != nil {
+		t.Fatal(f)
+	}
+	out, _ := start(h, CallSpec{})
+	if o := <-out; o.failure == nil || o.failure.Fault() != FaultCrashed {
+		t.Fatalf("got %+v", o.failure)
+	}
+}
+
+// Guards against searches that go on after the caller has left, and against a
+// cancelled call that is reported as not run.
+func TestCancelInterruptsAndTellsSearcher(t *testing.T) {
+	arrived, leave := make(chan struct{}), make(chan struct{})
+	s, h := newServer(t, func(http.ResponseWriter, *http.Request) {
+		arrived <- struct{}{}
+		<-leave
+	})
+	defer close(leave)
+	out, cancel := start(h, CallSpec{})
+	<-arrived
+	cancel()
+	if o := <-out; o.failure == nil || o.failure.Kind() != refusal.Cancelled || o.failure.Ran() != refusal.Unknown {
+		t.Fatalf("got %+v", o.failure)
+	}
+	if id := <-s.cancelled; id != "q1" {
+		t.Fatalf("cancelled %q", id)
+	}
+}
+
+// Guards against a request that is written after its permission has gone.
+func TestPermitIsAskedBeforeFirstByte(t *testing.T) {
+	_, h := newServer(t, func(http.ResponseWriter, *http.Request) { t.Error("request was written") })
+	out, _ := start(h, CallSpec{Permit: func() *refusal.Error { return refusal.New(refusal.NotHome, "lease") }})
+	if o := <-out; o.failure == nil || o.failure.Kind() != refusal.NotHome || o.failure.Ran() != refusal.NotRun {
+		t.Fatalf("got %+v", o.failure)
+	}
+}
+
+// Guards against a dead address that leaves it open whether the request ran.
+func TestNoConnectionProvesNotRun(t *testing.T) {
+	s, h := newServer(t, nil)
+	s.Close()
+	out, _ := start(h, CallSpec{})
+	if o := <-out; o.failure == nil || o.failure.Fault() != FaultConnect || o.failure.Ran() != refusal.NotRun {
+		t.Fatalf("got %+v", o.failure)
+	}
+}
+
+// Guards against a silent connection that is not told from a silent searcher.
+func TestSilentConnectionIsTested(t *testing.T) {
+	leave := make(chan struct{})
+	_, h := newServer(t, func(http.ResponseWriter, *http.Request) { <-leave })
+	defer close(leave)
+	silent := make(chan struct{})
+	out, cancel := start(h, CallSpec{Patience: time.Millisecond, Silent: func() { close(silent) }})
+	<-silent
+	cancel()
+	if o := <-out; o.failure == nil || o.failure.Fault() != FaultConnection {
+		t.Fatalf("got %+v", o.failure)
+	}
+}
+
+// Guards against more connections than the cap, also while calls are cancelled
+// and the cap changes.
+func TestConnectionCap(t *testing.T) {
+	s, h := newServer(t, serve(func(map[string]any) {}))
+	var wg sync.WaitGroup
+	for i := range 200 {
+		wg.Go(func() {
+			out, cancel := start(h, CallSpec{ID: fmt.Sprint(i)})
+			if i%5 == 0 {
+				cancel()
+			}
+			if o := <-out; i%5 != 0 && o.failure != nil {
+				t.Error(o.failure)
+			}
+		})
+	}
+	wg.Wait()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	// The server may notice the end of a connection after the next began.
+	if n := h.pool.size(); n > 4 {
+		t.Errorf("%d connections open, the server saw %d at once", n, s.max)
+	}
+}
+
+// Guards against a decoder that panics or accepts a reply to another call.
+func FuzzDecodeReply(f *testing.F) {
+	sound, err := json.Marshal(testReply("q1"))
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(sound)
+	f.Add([]byte(`{"id":"q1","shard":"s1"}`))
+	f.Add(append(sound, sound...))
+	f.Add(sound[:len(sound)/2])
+	c := NewCall(CallSpec{ID: "q1", Shard: "s1", Snapshot: 7, Announced: &testLabel})
+	f.Fuzz(func(t *testing.T, body []byte) {
+		r, failure := decodeReply(c, body)
+		if failure == nil && r.Label() != testLabel {
+			t.Errorf("accepted label %+v", r.Label())
+		}
+		if _, failure := decodeHealth(body); failure != nil && failure.Kind() != refusal.BadReply {
+			t.Errorf("health refused as %s", failure.Kind())
+		}
+	})
+}
