--- a/home/apply.go
+++ b/home/apply.go
@@ -139,11 +139,17 @@
 	g.flush()
 }
 
-// flush refuses everything that waits.
+// flush refuses everything that waits. Tasks that wait only to be sent a second
+// time keep their running attempt.
 func (g *group) flush() {
 	for _, l := range g.queue.order() {
 		for l.first != nil {
-			g.refuse(l.first, refusal.New(refusal.NotHome, "daemon is no longer home of group %s", g.id))
+			t := l.first
+			l.remove(t)
+			t.hedging, t.silent = false, nil
+			if len(t.running) == 0 {
+				g.refuse(t, refusal.New(refusal.NotHome, "daemon is no longer home of group %s", g.id))
+			}
 		}
 	}
 }
--- a/home/dispatch.go
+++ b/home/dispatch.go
@@ -33,6 +33,10 @@
 	if g.queue.len() == 0 {
 		return
 	}
+	if !g.open() {
+		g.flush()
+		return
+	}
 	for _, m := range g.members {
 		m.virtual = 0
 	}
--- a/home/ended.go
+++ b/home/ended.go
@@ -128,7 +128,7 @@
 		t.warmOnly = true
 		g.later(m.warmth.rest)
 	case searcher.FaultDraining:
-		m.draining = true
+		m.draining, m.drainUntil = true, now+drainHold
 	case searcher.FaultSnapshot:
 		m.forget(t.req.Snapshot())
 	case searcher.FaultSilent:
--- a/home/hedge.go
+++ b/home/hedge.go
@@ -24,7 +24,7 @@
 	t.hedge = g.set.clock.AfterFunc(delay, func() {
 		g.mu.Lock()
 		defer g.mu.Unlock()
-		if t.done || t.sends != 1 || len(t.running) == 0 || !g.queue.repeat(t, g.queueBound()) {
+		if t.done || t.sends != 1 || len(t.running) == 0 || t.in != nil || !g.queue.repeat(t, g.queueBound()) {
 			return
 		}
 		t.hedging = true
--- a/home/member.go
+++ b/home/member.go
@@ -14,26 +14,27 @@
 
 // member is one searcher of a group. The group's lock guards it.
 type member struct {
-	spec      *catalogue.Searcher
-	target    *searcher.Target
-	conns     int // Connections that the share permits.
-	inflight  int
-	virtual   int // Queued requests that the present dispatch round expects here.
-	estimate  estimate
-	usual     usual
-	warmth    warmth
-	labels    []shard.Label
-	claimed   searcher.State // Empty before the first health answer.
-	boot      string
-	version   string // As the searcher states it; empty before the first health answer.
-	inService bool
-	draining  bool
-	down      bool
-	removed   bool
-	failures  int // Failed health requests in a row.
-	lastReply time.Duration
-	poll      clock.Timer
-	polling   bool
+	spec       *catalogue.Searcher
+	target     *searcher.Target
+	conns      int // Connections that the share permits.
+	inflight   int
+	virtual    int // Queued requests that the present dispatch round expects here.
+	estimate   estimate
+	usual      usual
+	warmth     warmth
+	labels     []shard.Label
+	claimed    searcher.State // Empty before the first health answer.
+	boot       string
+	version    string // As the searcher states it; empty before the first health answer.
+	inService  bool
+	draining   bool
+	drainUntil time.Duration // Until then a claim to be ready does not end the drain.
+	down       bool
+	removed    bool
+	failures   int // Failed health requests in a row.
+	lastReply  time.Duration
+	poll       clock.Timer
+	polling    bool
 }
 
 // usable reports whether the searcher may receive new work at all.
@@ -116,8 +117,8 @@
 	if e.Latency() > 0 && !m.estimate.known {
 		m.estimate = estimate{value: float64(e.Latency()), at: now, known: true}
 	}
-	if m.warmth.evident || m.claimed == searcher.Cold {
-		return
+	if m.warmth.warm || m.warmth.evident || m.claimed == searcher.Cold {
+		return // What this home has seen itself is newer.
 	}
 	if e.Warm() {
 		m.warmth.warm = true
--- a/home/poll.go
+++ b/home/poll.go
@@ -14,6 +14,9 @@
 	// healthFailures is the number of failed health requests in a row after
 	// which a searcher that does not answer searches either is given up.
 	healthFailures = 2
+	// drainHold is the time for which a refusal because of a drain outweighs
+	// health answers that never admitted the drain.
+	drainHold = 30 * time.Second
 	// actingSleep is the time without requests after which an acting home stops
 	// its health requests.
 	actingSleep = 10 * time.Second
@@ -78,10 +81,15 @@
 func (g *group) healthy(m *member, h searcher.Health, now time.Duration) {
 	if m.boot != "" && m.boot != h.Boot() {
 		m.renew()
+		m.drainUntil = 0
 	}
 	m.boot, m.version, m.claimed = h.Boot(), h.Version(), h.State()
 	m.failures, m.down = 0, false
-	m.draining = h.State() == searcher.Draining
+	if h.State() == searcher.Draining {
+		m.draining, m.drainUntil = true, 0
+	} else if now >= m.drainUntil {
+		m.draining = false
+	}
 	m.learn(h.Labels())
 	if h.State() == searcher.Cold {
 		m.warmth.chill(now)
--- a/home/release.go
+++ b/home/release.go
@@ -23,15 +23,30 @@
 			out = append(out, NewReleased(id, nil))
 			continue
 		}
-		select {
-		case <-g.drained():
+		if g.waitDrained(ctx) {
 			out = append(out, g.knowledge())
-		case <-ctx.Done():
 		}
 	}
 	return out
 }
 
+// waitDrained reports whether the group drained before ctx ended; a group that
+// has nothing in flight counts as drained even after that.
+func (g *group) waitDrained(ctx context.Context) bool {
+	drained := g.drained()
+	select {
+	case <-drained:
+		return true
+	default:
+	}
+	select {
+	case <-drained:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // Adopt starts the group's estimates from those of the previous home. It may
 // come before the assignment that makes this daemon the home.
 func (s *Set) Adopt(group string, r Released) {
--- a/home/result.go
+++ b/home/result.go
@@ -18,8 +18,12 @@
 // answer ends a task with the reply of one of its attempts.
 func (g *group) answer(a *attempt, r searcher.Reply) {
 	t := a.t
-	invariant.Check(resultLabel, t.req.Snapshot() == 0 || r.Label().Snapshot() == t.req.Snapshot(),
-		"request %s: snapshot %d, asked for %d", t.req.ID(), r.Label().Snapshot(), t.req.Snapshot())
+	if !invariant.Check(resultLabel, t.req.Snapshot() == 0 || r.Label().Snapshot() == t.req.Snapshot(),
+		"request %s: snapshot %d, asked for %d", t.req.ID(), r.Label().Snapshot(), t.req.Snapshot()) {
+		t.ran = refusal.DidRun
+		g.refuse(t, refusal.New(refusal.BadReply, "reply is from snapshot %d", r.Label().Snapshot()))
+		return
+	}
 	hits := r.Hits()
 	if n := t.req.Limit(); n > 0 && len(hits) > n {
 		hits = hits[:n]
--- a/home/set.go
+++ b/home/set.go
@@ -57,21 +57,30 @@
 // Do runs a request at its home and waits for the result, which comes at the
 // request's deadline at the latest.
 func (s *Set) Do(ctx context.Context, req shard.Request) shard.Result {
-	g := s.group(req.Group())
-	if g == nil {
-		return notHome(req)
-	}
 	result := make(chan shard.Result, 1)
-	t := g.start(req, func(r shard.Result) { result <- r })
+	g, t := s.start(req, func(r shard.Result) { result <- r })
 	select {
 	case r := <-result:
 		return r
 	case <-ctx.Done():
-		g.withdraw(t)
+		if g != nil {
+			g.withdraw(t)
+		}
 		return <-result
 	}
 }
 
+// start accepts a request; reply is called exactly once and must not wait. The
+// group is nil when the request was refused for want of one.
+func (s *Set) start(req shard.Request, reply func(shard.Result)) (*group, *task) {
+	g := s.group(req.Group())
+	if g == nil {
+		reply(notHome(req))
+		return nil, nil
+	}
+	return g, g.start(req, reply)
+}
+
 func notHome(req shard.Request) shard.Result {
 	return shard.NewResult(shard.ResultSpec{
 		Kind: refusal.NotHome, Ran: refusal.NotRun, Shard: req.Shard(), Group: req.Group(),
