--- a/home/apply.go
+++ b/home/apply.go
@@ -22,6 +22,9 @@
 		v := s.services[spec.Name()]
 		if v == nil {
 			v = newService(spec)
+			for move, share := range s.shares[spec.Name()] {
+				v.setShare(move, share)
+			}
 			s.services[spec.Name()] = v
 		}
 		v.update(spec)
@@ -36,13 +39,17 @@
 			s.discard(g)
 		}
 	}
+	for id := range s.adopted {
+		if !listed[id] {
+			delete(s.adopted, id)
+		}
+	}
 }
 
 func (s *Set) applyGroup(a Assignment, spec catalogue.Group, v *service) {
 	share := a.Share(spec.ID())
 	g := s.groups[spec.ID()]
 	if share == lease.None {
-		delete(s.adopted, spec.ID())
 		if g != nil {
 			g.retire()
 			s.discard(g)
@@ -56,7 +63,9 @@
 	g.reconcile(a.Estate(), spec, share)
 	if r, ok := s.adopted[spec.ID()]; ok {
 		delete(s.adopted, spec.ID())
-		g.adopt(r)
+		if s.clock.Boot()-r.at < adoptionMemory {
+			g.adopt(r.released)
+		}
 	}
 }
 
--- a/home/member.go
+++ b/home/member.go
@@ -71,8 +71,15 @@
 }
 
 // slots is the number of requests that the searcher runs at once, as far as
-// the connections suffice.
-func (m *member) slots() int { return min(max(1, m.spec.Slots()), m.conns) }
+// the connections suffice. One connection is left for health requests and
+// cancellations where there are several.
+func (m *member) slots() int {
+	n := m.conns
+	if n > 1 {
+		n--
+	}
+	return min(max(1, m.spec.Slots()), n)
+}
 
 // limit is the highest number of requests in flight at the share.
 //
--- a/home/release.go
+++ b/home/release.go
@@ -56,7 +56,7 @@
 		g.adopt(r)
 		return
 	}
-	s.adopted[group] = r
+	s.adopted[group] = adoption{released: r, at: s.clock.Boot()}
 }
 
 // stop ends the home role before the assignment says so.
--- a/home/set.go
+++ b/home/set.go
@@ -28,7 +28,8 @@
 	mu       sync.RWMutex
 	groups   map[string]*group
 	services map[string]*service
-	adopted  map[string]Released // For groups that are not assigned yet.
+	adopted  map[string]adoption           // For groups that are not assigned yet.
+	shares   map[string]map[string]float64 // By service and move.
 	closed   bool
 }
 
@@ -41,7 +42,8 @@
 		random:   rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		groups:   make(map[string]*group),
 		services: make(map[string]*service),
-		adopted:  make(map[string]Released),
+		adopted:  make(map[string]adoption),
+		shares:   make(map[string]map[string]float64),
 	}
 	for _, opt := range opts {
 		opt(s)
@@ -111,11 +113,16 @@
 }
 
 // SetMoveShare sets the share of traffic, 0 to 1, that the new version of a
-// move may receive. At 0 it receives no new work at once.
+// move may receive. At 0 it receives no new work at once. The service need not
+// be assigned yet.
 func (s *Set) SetMoveShare(service, move string, share float64) {
-	s.mu.RLock()
+	s.mu.Lock()
+	if s.shares[service] == nil {
+		s.shares[service] = make(map[string]float64)
+	}
+	s.shares[service][move] = share
 	v := s.services[service]
-	s.mu.RUnlock()
+	s.mu.Unlock()
 	if v == nil {
 		return
 	}
--- a/home/sketch.go
+++ b/home/sketch.go
@@ -34,6 +34,7 @@
 type sketch struct {
 	mu       sync.Mutex
 	now, old *hdrhistogram.Histogram
+	all      *hdrhistogram.Histogram // Both together, when last computed.
 	since    time.Duration
 	fresh    int
 	quantile float64
@@ -42,7 +43,7 @@
 }
 
 func newSketch(quantile float64) *sketch {
-	return &sketch{now: newHistogram(), old: newHistogram(), quantile: quantile}
+	return &sketch{now: newHistogram(), old: newHistogram(), all: newHistogram(), quantile: quantile}
 }
 
 func (s *sketch) setQuantile(q float64) {
@@ -71,12 +72,12 @@
 		return
 	}
 	s.fresh = 0
-	all := newHistogram()
-	all.Merge(s.now)
-	all.Merge(s.old)
+	s.all.Reset()
+	s.all.Merge(s.now)
+	s.all.Merge(s.old)
 	const percent = 100
-	s.high = time.Duration(all.ValueAtQuantile(s.quantile*percent)) * time.Microsecond
-	s.median = time.Duration(all.ValueAtQuantile(percent/2)) * time.Microsecond
+	s.high = time.Duration(s.all.ValueAtQuantile(s.quantile*percent)) * time.Microsecond
+	s.median = time.Duration(s.all.ValueAtQuantile(percent/2)) * time.Microsecond
 }
 
 // read returns the configured quantile and the median; zeros until enough
--- a/searcher/http_test.go
+++ b/searcher/http_test.go
@@ -291,3 +291,42 @@
 		}
 	})
 }
+
+// Guards against a second reply that arrives on an idle connection and is taken
+// for the reply to the next call.
+func TestLateSecondReplyIsNotUsed(t *testing.T) {
+	again, wrote := make(chan struct{}), make(chan struct{})
+	calls := 0
+	s, h := newServer(t, nil)
+	s.search = func(w http.ResponseWriter, r *http.Request) {
+		if calls++; calls > 1 {
+			serve(func(map[string]any) {})(w, r)
+			return
+		}
+		body, err := json.Marshal(testReply(r.Header.Get("X-Request-Id")))
+		if err != nil {
+			panic(err)
+		}
+		c, _, err := w.(http.Hijacker).Hijack()
+		if err != nil {
+			panic(err)
+		}
+		for range 2 {
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+			<-again
+		}
+		close(wrote)
+		_ = c.Close()
+	}
+	first, _ := start(h, CallSpec{ID: "q1"})
+	if o := <-first; o.failure != nil {
+		t.Fatal(o.failure)
+	}
+	again <- struct{}{}
+	close(again)
+	<-wrote
+	second, _ := start(h, CallSpec{ID: "q2"})
+	if o := <-second; o.failure != nil {
+		t.Fatal(o.failure)
+	}
+}
