--- a/searcher/exchange.go
+++ b/searcher/exchange.go
@@ -91,6 +91,9 @@
 	if x.call.Snapshot() != 0 {
 		req.Header.Set("X-Snapshot", strconv.FormatUint(x.call.Snapshot(), 10))
 	}
+	if x.call.Limit() > 0 {
+		req.Header.Set("X-Limit", strconv.Itoa(x.call.Limit()))
+	}
 	remaining := (x.call.Deadline() - x.h.clock.Boot()).Milliseconds()
 	req.Header.Set("X-Deadline-Ms", strconv.FormatInt(max(remaining, 1), 10))
 	req.SetBodyRaw(x.call.Body())
@@ -143,14 +146,16 @@
 	if !x.conn.wrote.Load() {
 		return endFailure(x.ctx, FaultNone, refusal.NotRun)
 	}
+	fault := FaultSilent
 	if x.silent.Load() {
+		fault = FaultConnection
 		meter.Count("searcher.connection.silent", 1)
 		x.h.pool.expire()
 	}
 	ctx, stop := clock.WithDeadline(context.Background(), x.h.clock, x.h.clock.Boot()+sideTimeout)
 	defer stop()
 	x.h.cancel(ctx, x.call.ID())
-	return endFailure(x.ctx, FaultSilent, refusal.Unknown)
+	return endFailure(x.ctx, fault, refusal.Unknown)
 }
 
 // watch tests the searcher over a new connection once the patience of the call
