entry: deliver the refusal of an oversized body; smaller plans

TestServerAnswersFaultsWithTypedRefusals failed once: the server closed the connection while the caller was still writing, and the reset discarded the 413.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -98,7 +98,7 @@
 	if n != 1 {
 		return unknown("home's reply lacks the request")
 	}
-	return a.outcome(res)
+	return a.outcome(*res)
 }
 
 func (a *attempt) outcome(r shard.Result) once.Outcome {
--- a/entry/bench_test.go
+++ b/entry/bench_test.go
@@ -72,7 +72,8 @@
 			p, _ := choose(l, t, "q1", nil)
 			for i := range p.lanes {
 				r := shard.NewRequest(shard.RequestSpec{Shard: p.lanes[i].shard, Group: p.lanes[i].group})
-				p.lanes[i].merged, p.lanes[i].result = true, benchResult(r, i, n)
+				res := benchResult(r, i, n)
+				p.lanes[i].merged, p.lanes[i].result = true, &res
 			}
 			b.ReportAllocs()
 			for b.Loop() {
--- a/entry/fanout.go
+++ b/entry/fanout.go
@@ -107,6 +107,9 @@
 			f.park(l)
 			continue
 		}
+		if l.tried == nil {
+			l.tried = l.names[:0]
+		}
 		l.tried = append(l.tried, h.Name())
 		l.pending++
 		fresh = join(fresh, h, i, f.request(id, l, acting))
--- a/entry/lane.go
+++ b/entry/lane.go
@@ -18,6 +18,8 @@
 	pending int
 	// tried are the daemons that the lane was sent to in this round of candidates.
 	tried []string
+	// names backs tried, which saves an allocation for each shard.
+	names [maxCandidates]string
 	// parked is set while the lane waits for the next round, because no daemon
 	// served the group. Homes change hands within a second.
 	parked bool
@@ -26,7 +28,7 @@
 	skipped bool
 	// merged is set once result was accepted.
 	merged bool
-	result shard.Result
+	result *shard.Result
 	// reason and ran describe the latest failure.
 	reason refusal.Kind
 	ran    refusal.Ran
--- a/entry/run.go
+++ b/entry/run.go
@@ -21,12 +21,16 @@
 }
 
 func (s *Server) runOnce(c *fasthttp.RequestCtx, arrived time.Duration) {
-	r, err := decodeRun(c.PostBody())
+	data, err := readBody(c)
+	if err != nil {
+		refuse(c, "", err)
+		return
+	}
+	r, err := decodeRun(data)
 	if err != nil {
 		refuse(c, r.id, err)
 		return
 	}
-	r.body = append([]byte(nil), r.body...)
 	o := s.e.Run(context.Background(), r, arrived)
 	if err := o.Err(); err != nil {
 		refuse(c, r.id, err)
--- a/entry/server.go
+++ b/entry/server.go
@@ -30,6 +30,7 @@
 		Concurrency:           maxConnections + spareConnections,
 		ConnState:             s.count,
 		MaxRequestBodySize:    maxBodyBytes,
+		StreamRequestBody:     true, // Larger bodies reach readBody.
 		ReadTimeout:           readTimeout,
 		WriteTimeout:          writeTimeout,
 		IdleTimeout:           idleTimeout,
@@ -103,13 +104,16 @@
 }
 
 func (s *Server) query(c *fasthttp.RequestCtx, arrived time.Duration) {
-	q, err := decodeQuery(c.PostBody())
+	data, err := readBody(c)
+	if err != nil {
+		refuse(c, "", err)
+		return
+	}
+	q, err := decodeQuery(data)
 	if err != nil {
 		refuse(c, q.id, err)
 		return
 	}
-	// The body belongs to the connection, and late calls may outlive the handler.
-	q.body = append([]byte(nil), q.body...)
 	a, err := s.e.Search(context.Background(), q, arrived)
 	if err != nil {
 		refuse(c, q.id, err)
--- a/entry/server_test.go
+++ b/entry/server_test.go
@@ -42,7 +42,11 @@
 	s, base := serveEntry(t, e)
 	check := func(name, path, body string, kind refusal.Kind) {
 		t.Helper()
-		resp, err := http.Post(base+path, "application/json", strings.NewReader(body))
+		var from io.Reader = strings.NewReader(body)
+		if strings.HasPrefix(name, "chunked") {
+			from = struct{ io.Reader }{from} // Hides the length.
+		}
+		resp, err := http.Post(base+path, "application/json", from)
 		if err != nil {
 			t.Fatalf("%s: %v", name, err)
 		}
@@ -65,6 +69,10 @@
 	check("service", "/v1/query", goodQuery, refusal.UnknownService)
 	check("ticket", "/v1/run", goodQuery, refusal.Malformed)
 	check("size", "/v1/query", strings.Repeat(" ", maxBodyBytes+1), refusal.TooLarge)
+	check("size, refused again", "/v1/run", strings.Repeat(" ", 3*maxBodyBytes), refusal.TooLarge)
+	check("chunked", "/v1/query", goodQuery, refusal.UnknownService)
+	check("chunked size", "/v1/query", strings.Repeat(" ", 2*maxBodyBytes), refusal.TooLarge)
+	check("after the refusal", "/v1/query", goodQuery, refusal.UnknownService)
 	s.connections.Add(maxConnections)
 	check("connections", "/v1/query", goodQuery, refusal.Overloaded)
 	s.connections.Add(-maxConnections)
--- a/entry/table.go
+++ b/entry/table.go
@@ -79,15 +79,6 @@
 	return t.groups[group].labels
 }
 
-// need states what a query has to do about the labels of a group.
-type need int
-
-const (
-	none    need = iota
-	refresh      // Ask beside the query.
-	wait         // Ask before the plan.
-)
-
 // claim returns the need for a question. Only one caller a second is told to refresh.
 func (t *table) claim(group string) need {
 	now := t.clk.Boot()
--- a/entry/take.go
+++ b/entry/take.go
@@ -46,7 +46,7 @@
 
 // accept merges a result into its lane. It reports whether the lane should be
 // sent to the next daemon because this one did not serve it.
-func (f *fanout) accept(l *lane, r shard.Result) (again bool) {
+func (f *fanout) accept(l *lane, r *shard.Result) (again bool) {
 	if len(r.Held()) > 0 {
 		f.s.e.table.learn(l.group, r.Held())
 	}
@@ -58,7 +58,7 @@
 		// The group may have announced the target since the plan was made.
 		l.label, l.known = announcement(f.s.e.table.of(l.group), f.p.target)
 	}
-	kind, detail := l.check(f.p.target, r)
+	kind, detail := l.check(f.p.target, *r)
 	switch kind {
 	case refusal.None:
 		l.merged, l.result, l.reason = true, r, refusal.None
@@ -123,10 +123,11 @@
 }
 
 // find returns the result that belongs to the request and how many claim to.
-func find(results []shard.Result, q shard.Request) (shard.Result, int) {
-	var found shard.Result
+func find(results []shard.Result, q shard.Request) (*shard.Result, int) {
+	var found *shard.Result
 	n := 0
-	for _, r := range results {
+	for i := range results {
+		r := &results[i]
 		if r.Group() == q.Group() && r.Shard() == q.Shard() {
 			if n == 0 {
 				found = r
--- a/entry/ticket.go
+++ b/entry/ticket.go
@@ -7,9 +7,3 @@
 	incarnation string
 	issued      time.Time
 }
-
-// Run is a decoded non-idempotent request of a caller.
-type Run struct {
-	Query
-	ticket Ticket
-}
