standin/load: a last answer of "not run" must be true

The ledger passed a request that ran when one answer was of unknown outcome and the next said that it did not run. A caller that believes the second would send the request again under a new identifier, and a play would be logged twice.

--- a/standin/load/check_test.go
+++ b/standin/load/check_test.go
@@ -67,7 +67,8 @@
 	}{
 		{"ran once", []wireAnswer{ok, ok}, 1, 0},
 		{"refused, then ran", []wireAnswer{no, ok}, 1, 0},
-		{"unknown and ran", []wireAnswer{unknown, no}, 1, 0},
+		{"refused, then unknown", []wireAnswer{no, unknown}, 1, 0},
+		{"ran, then said not to have run", []wireAnswer{unknown, no}, 1, 1},
 		{"not run", []wireAnswer{no, no}, 0, 0},
 		{"ran twice", []wireAnswer{ok, unknown}, 2, 1},
 		{"outcome without a run", []wireAnswer{ok}, 0, 1},
--- a/standin/load/generator_test.go
+++ b/standin/load/generator_test.go
@@ -71,7 +71,7 @@
 func TestEveryRequestIsCounted(t *testing.T) {
 	d := startDaemon(t, 60_000)
 	report, err := Run(context.Background(), Config{
-		Daemons: []string{d.self}, Operators: []string{d.self, "127.0.0.1:1"}, Searchers: d.self,
+		Daemons: []string{"127.0.0.1:1", d.self}, Operators: []string{d.self, "127.0.0.1:1"}, Searchers: d.self,
 		Rate: 5000, Count: 200, Corpus: d.corpus, RunRatio: 0.1,
 	})
 	if err != nil {
--- a/standin/load/runs.go
+++ b/standin/load/runs.go
@@ -37,21 +37,22 @@
 	return faults
 }
 
-// falseAnswer finds a statement about having run that the searchers refute.
-// A request with several answers may have run after an earlier refusal, so a
-// refusal counts only if no answer leaves that open.
+// falseAnswer finds a statement about having run that the searchers refute. The
+// answers are in the order of their arrival; the last request was sent after all
+// others were answered or given up. A refusal before an outcome may have been
+// true, but a caller whose last word is "not run" may send the request under a
+// new identifier, so that word must be true.
 func falseAnswer(answers []wireAnswer, runs int) string {
-	refused := 0
+	outcome := false
 	for _, a := range answers {
-		if a.Kind == "" && runs == 0 {
-			return "has an outcome and did not run"
-		}
-		if a.Kind != "" && a.Ran == "no" {
-			refused++
-		}
+		outcome = outcome || a.Kind == ""
 	}
-	if refused == len(answers) && runs > 0 {
-		return "ran although every answer says that it did not"
+	last := answers[len(answers)-1]
+	switch {
+	case outcome && runs == 0:
+		return "has an outcome and did not run"
+	case !outcome && runs > 0 && last.Kind != "" && last.Ran == "no":
+		return fmt.Sprintf("ran although the last answer, kind %s, says that it did not", last.Kind)
 	}
 	return ""
 }
