--- a/cell/hostile_test.go
+++ b/cell/hostile_test.go
@@ -124,6 +124,7 @@
 // Guards against watches that go silent: the direct reads still bring the
 // configuration within about a minute, and a renewed watch sooner.
 func TestSilentWatches(t *testing.T) {
+	t.Parallel()
 	f := running(t, 5)
 	f.st.silent = true
 	f.run(watchTime, f.check)
@@ -135,6 +136,7 @@
 // one write for each renewal, one direct read a minute for each member, and the
 // watches of two members of each failure domain.
 func TestStoreCalls(t *testing.T) {
+	t.Parallel()
 	f := running(t, 9)
 	f.run(10*time.Second, f.check)
 	f.st.gets, f.st.puts, f.st.watches = 0, 0, 0
--- a/cell/scenario_test.go
+++ b/cell/scenario_test.go
@@ -77,6 +77,7 @@
 
 // Guards against a keeper loss that stops homes on other daemons.
 func TestKeeperKilled(t *testing.T) {
+	t.Parallel()
 	f := running(t, 7)
 	k := f.keeper()
 	kept := slices.DeleteFunc(slices.Clone(f.ids), func(id string) bool { return k.has(id) == lease.Full })
@@ -91,6 +92,7 @@
 // Guards against queries that stop while the store is down, and against daemons
 // that start then becoming homes or staying without configuration.
 func TestStoreOutage(t *testing.T) {
+	t.Parallel()
 	f := running(t, 7)
 	f.st.down = true
 	f.steady(time.Minute, "homes in the outage", f.whole)
@@ -186,6 +188,7 @@
 // Guards against a paused daemon that sends on waking, and a daemon that is cut
 // off from everything but goes on as home.
 func TestPausedAndCutOff(t *testing.T) {
+	t.Parallel()
 	f := running(t, 7)
 	n := f.other(f.keeper())
 	n.pausedUntil = f.clk.Boot() + 8*time.Second
@@ -232,6 +235,7 @@
 // Guards against a keeper that is cut off with a minority but still reaches the
 // store: it removed the majority, which then served nothing.
 func TestKeeperInMinority(t *testing.T) {
+	t.Parallel()
 	f := running(t, 7)
 	k := f.keeper()
 	o := f.other(k)
@@ -250,6 +254,7 @@
 // Guards against homes that stop while the store is slow: writes take effect
 // after their caller stopped waiting, and reads work.
 func TestSlowStore(t *testing.T) {
+	t.Parallel()
 	f := running(t, 5)
 	f.run(3*time.Second, f.check)
 	for _, slow := range []time.Duration{time.Second, 1900 * time.Millisecond, 2500 * time.Millisecond, 4 * time.Second} {
@@ -263,6 +268,7 @@
 // Guards against a keeper that wakes from a pause and goes on granting leases or
 // removing members.
 func TestPausedKeeper(t *testing.T) {
+	t.Parallel()
 	for _, pause := range []time.Duration{1500 * time.Millisecond, 4 * time.Second, 12 * time.Second} {
 		f := running(t, 5)
 		f.run(3*time.Second, f.check)
