--- a/home/apply.go
+++ b/home/apply.go
@@ -22,6 +22,9 @@
 		v := s.services[spec.Name()]
 		if v == nil {
 			v = newService(spec)
+			for move, share := range s.shares[spec.Name()] {
+				v.setShare(move, share)
+			}
 			s.services[spec.Name()] = v
 		}
 		v.update(spec)
@@ -36,13 +39,17 @@
 			s.discard(g)
 		}
 	}
+	for id := range s.adopted {
+		if !listed[id] {
+			delete(s.adopted, id)
+		}
+	}
 }
 
 func (s *Set) applyGroup(a Assignment, spec catalogue.Group, v *service) {
 	share := a.Share(spec.ID())
 	g := s.groups[spec.ID()]
 	if share == lease.None {
-		delete(s.adopted, spec.ID())
 		if g != nil {
 			g.retire()
 			s.discard(g)
@@ -56,7 +63,9 @@
 	g.reconcile(a.Estate(), spec, share)
 	if r, ok := s.adopted[spec.ID()]; ok {
 		delete(s.adopted, spec.ID())
-		g.adopt(r)
+		if s.clock.Boot()-r.at < adoptionMemory {
+			g.adopt(r.released)
+		}
 	}
 }
 
@@ -139,11 +148,17 @@
 	g.flush()
 }
 
-// flush refuses everything that waits.
+// flush refuses everything that waits. Tasks that wait only to be sent a second
+// time keep their running attempt.
 func (g *group) flush() {
 	for _, l := range g.queue.order() {
 		for l.first != nil {
-			g.refuse(l.first, refusal.New(refusal.NotHome, "daemon is no longer home of group %s", g.id))
+			t := l.first
+			l.remove(t)
+			t.hedging, t.silent = false, nil
+			if len(t.running) == 0 {
+				g.refuse(t, refusal.New(refusal.NotHome, "daemon is no longer home of group %s", g.id))
+			}
 		}
 	}
 }
