cell: withhold a group that comes back before its home has stopped

A home that was told to stop opens again only after an assignment without its group. A group that was lost and regained between two assignments stayed shut. Share now withholds it until shares without it are applied.

--- a/cell/cell.go
+++ b/cell/cell.go
@@ -28,6 +28,8 @@
 	applies   bool   // The daemon calls Applied.
 	applied   uint64 // Key of the shares that the homes have.
 	noted     uint64 // Key at the last tick.
+	reads     uint64 // Calls of ShareKey.
+	closing   map[string]*closing
 	leaving   bool
 	view      view
 	pending   pending
@@ -46,6 +48,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	c := &Cell{cfg: newConfig(opts), self: self.withLeaving(false), ctx: ctx, cancel: cancel}
 	c.release.estimates = make(map[string]*peerpb.ReleasedGroup)
+	c.closing = make(map[string]*closing)
 	return c
 }
 
@@ -107,6 +110,9 @@
 	now := c.cfg.clk.Boot()
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.applies && c.closing[g.ID()] != nil {
+		return lease.None
+	}
 	return c.view.share(now, c.self.Name(), g.ID(), c.orderLocked(g))
 }
 
@@ -129,17 +135,19 @@
 	now := c.cfg.clk.Boot()
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.reads++
 	return c.view.key(now)
 }
 
-// Applied reports that the homes have the shares that were read after ShareKey
-// returned key. A daemon that wakes from a pause must not use the shares it had
+// Applied reports that the homes have the shares that were read after the last
+// ShareKey, which returned key. A daemon that wakes from a pause must not use the shares it had
 // before with the lease that it gets now. Without any call, LeaseEnd does not
 // wait for one.
 func (c *Cell) Applied(key uint64) {
 	c.mu.Lock()
-	defer c.mu.Unlock()
+	defer c.unlock()
 	c.applies, c.applied = true, key
+	c.appliedLocked()
 }
 
 func (c *Cell) orderLocked(g catalogue.Group) []Member {
--- a/cell/release.go
+++ b/cell/release.go
@@ -63,12 +63,14 @@
 		return
 	}
 	c.view.stopping++
+	c.closeLocked(groups)
 	c.later(func() {
 		ctx, cancel := c.within(leaseTime + margin)
 		defer cancel()
 		learned := c.cfg.release(ctx, groups)
 		c.mu.Lock()
 		c.view.stopping--
+		c.closedLocked(groups)
 		for _, g := range learned {
 			if len(c.release.estimates) >= maxEstimates {
 				clear(c.release.estimates)
--- a/cell/rules_test.go
+++ b/cell/rules_test.go
@@ -5,7 +5,9 @@
 	"testing"
 	"time"
 
+	"medlaryard.example/medlaryard/catalogue"
 	"medlaryard.example/medlaryard/clock/clocktest"
+	"medlaryard.example/medlaryard/lease"
 	"medlaryard.example/medlaryard/peer/peerpb"
 )
 
@@ -50,6 +52,39 @@
 	}
 }
 
+// Guards against a home that stays shut: it was told to stop and its group came
+// back before the daemon applied shares without the group.
+func TestGroupThatComesBack(t *testing.T) {
+	c, clk := leased(benchMembers(4))
+	var stop []func()
+	c.cfg.spawn = func(f func()) { stop = append(stop, f) }
+	g := catalogue.NewGroup(catalogue.GroupSpec{ID: "g"})
+	c.Applied(c.ShareKey())
+	adopt := func(epoch uint64, members []Member) {
+		c.mu.Lock()
+		c.adoptLocked(clk.Boot(), nextOf(members, 1, epoch))
+		c.view.settled = true
+		c.unlock()
+	}
+	members := c.view.m.members
+	adopt(2, []Member{members[0], members[1].withLeaving(true)})
+	adopt(3, members)
+	c.Applied(c.ShareKey())
+	if c.Share(g) != lease.None {
+		t.Error("group is given back before its home has stopped")
+	}
+	for _, f := range stop {
+		f()
+	}
+	if c.Share(g) != lease.None {
+		t.Error("group is given back before shares without it are applied")
+	}
+	c.Applied(c.ShareKey())
+	if c.Share(g) != lease.Full {
+		t.Errorf("share %v after that", c.Share(g))
+	}
+}
+
 // Guards against a full share that is carried into a later epoch after its
 // lease has ended, when another home may have had the group between.
 func TestFullShareEndsWithLease(t *testing.T) {
