standin/searchers: a refused connection may fail in Dial

Cause: TestConnectionCap failed once in go test ./...: the reset of the third connection arrived before Dial returned, which the test took for a fault. Ruled out: a cap that is not enforced; the record counts one refusal. Change: an error of Dial counts as not accepted; the expectations on which connections are accepted and on the record are unchanged.

--- a/standin/searchers/searcher_test.go
+++ b/standin/searchers/searcher_test.go
@@ -118,14 +118,15 @@
 func TestConnectionCap(t *testing.T) {
 	s := start(t, Config{Connections: 2})
 	for i := range 3 {
-		c, err := net.Dial("tcp", s.Address())
-		if err != nil {
-			t.Fatal(err)
+		accepted := false
+		// The reset of a refused connection can arrive before Dial returns.
+		if c, err := net.Dial("tcp", s.Address()); err == nil {
+			defer c.Close()
+			_, _ = c.Write([]byte("GET /v1/health HTTP/1.1\r\nHost: a\r\n\r\n"))
+			_, err = http.ReadResponse(bufio.NewReader(c), nil)
+			accepted = err == nil
 		}
-		defer c.Close()
-		_, _ = c.Write([]byte("GET /v1/health HTTP/1.1\r\nHost: a\r\n\r\n"))
-		_, err = http.ReadResponse(bufio.NewReader(c), nil)
-		if accepted := err == nil; accepted != (i < 2) {
+		if accepted != (i < 2) {
 			t.Errorf("connection %d: accepted %v", i+1, accepted)
 		}
 	}
