home: latency shows a cold start only over a quarter of a second

Cause: on a busy machine scripts/trial calm current had a p95 of 157 ms: a pause makes all replies slow that are on their way, and 3 to 5 of them in a row took a searcher's slots away (109 times in 10 s over 7 daemons, home.chill.latency). Ruled out: cold starts told by health or refusals (no such counter moved). Change: five slow replies in a row that span 250 ms, compared with the peer's latency of late; three times both without a warm peer; no longer ramp after it.

--- a/home/observe.go
+++ b/home/observe.go
@@ -13,11 +13,11 @@
 	if a.first {
 		g.service.sketch.add(now, took)
 	}
-	reference, peer := g.reference(m)
+	normal, present, peer := g.reference(m, now)
 	m.usual.add(took)
 	m.estimate.observe(now, float64(took), g.median)
-	m.warmth.suspect(now, took, time.Duration(m.estimate.value), reference, peer)
-	m.warmth.succeed(now, took, reference, m.slots(), m.claimed == searcher.Cold)
+	m.warmth.suspect(now, took, present, peer)
+	m.warmth.succeed(now, took, normal, m.slots(), m.claimed == searcher.Cold)
 	g.updateMedian()
 }
 
@@ -29,29 +29,31 @@
 	}
 	a.m.estimate.atLeast(now, float64(took), g.median)
 	a.m.warmth.giveUp(took)
-	reference, peer := g.reference(a.m)
-	a.m.warmth.suspect(now, took, time.Duration(a.m.estimate.value), reference, peer)
+	_, present, peer := g.reference(a.m, now)
+	a.m.warmth.suspect(now, took, present, peer)
 	g.updateMedian()
 }
 
 // reference returns the latency that is normal for a searcher: that of the
 // fastest other one that is not known to be cold, or else the median of the
-// service; 0 when unknown.
-func (g *group) reference(m *member) (latency time.Duration, peer bool) {
-	lowest := 0.0
+// service; 0 when unknown. Present is the other one's latency of late where that
+// is higher, because then the cause is not the searcher.
+func (g *group) reference(m *member, now time.Duration) (normal, present time.Duration, peer bool) {
+	var best *member
 	for _, o := range g.members {
 		if o == m || o.warmth.evident || o.usual.n < usualSamples || o.removed {
 			continue
 		}
-		if lowest == 0 || o.usual.mean < lowest {
-			lowest = o.usual.mean
+		if best == nil || o.usual.mean < best.usual.mean {
+			best = o
 		}
 	}
-	if lowest > 0 {
-		return time.Duration(lowest), true
+	if best == nil {
+		_, median := g.service.sketch.read()
+		return median, median, false
 	}
-	_, median := g.service.sketch.read()
-	return median, false
+	normal = time.Duration(best.usual.mean)
+	return normal, max(normal, time.Duration(best.estimate.read(now, g.median))), true
 }
 
 // updateMedian computes the lower median of the searchers' estimates, so that
--- a/home/poll.go
+++ b/home/poll.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"medlaryard.example/medlaryard/lease"
+	"medlaryard.example/medlaryard/meter"
 	"medlaryard.example/medlaryard/searcher"
 )
 
@@ -92,6 +93,7 @@
 	}
 	m.learn(h.Labels())
 	if h.State() == searcher.Cold {
+		meter.Count("home.chill.health", 1)
 		m.warmth.chill(now)
 	}
 }
--- a/home/warmth.go
+++ b/home/warmth.go
@@ -1,6 +1,10 @@
 package home
 
-import "time"
+import (
+	"time"
+
+	"medlaryard.example/medlaryard/meter"
+)
 
 const (
 	// rampSuccesses is the number of successes in a row that double the
@@ -20,11 +24,13 @@
 	// searcher turned cold. With long-tailed service times (lognormal, sigma
 	// 0.5) one reply in 20 is slow by chance, five in a row one in 3 million.
 	slowReplies = 5
-	// slowRepliesAndMean is the number that suffices when the estimate is too
-	// high as well, compared with another warm searcher of the group. Compared
-	// with the service it is not enough: the last warm searcher of a group at
-	// 80% use then lost its slots by chance often enough to raise p99 by a half.
-	slowRepliesAndMean = 3
+	// slowSpan is the least time from the first to the last of them. A pause of
+	// the VM makes all replies slow that are on their way; without the span
+	// searchers lost their slots several times a second on a busy machine.
+	slowSpan = 250 * time.Millisecond
+	// slowAlone multiplies both when no other searcher of the group is warm,
+	// because then the service is the only comparison.
+	slowAlone = 3
 	// relapseMemory is the time after which an earlier cold start no longer
 	// makes the ramp more cautious.
 	relapseMemory = time.Minute
@@ -44,6 +50,7 @@
 	successes int           // In the present window.
 	total     time.Duration // Latency of the successes in the present window.
 	slowRun   int           // Slow replies in a row while warm.
+	slowSince time.Duration
 	window    int
 	chilledAt time.Duration
 	rest      time.Duration
@@ -74,6 +81,7 @@
 
 // refuse notes that the searcher turned a request away.
 func (w *warmth) refuse(now time.Duration) {
+	meter.Count("home.chill.refusal", 1)
 	w.chill(now)
 	w.rest = min(max(2*w.rest, restAfterRefusal), maxRest)
 	w.restUntil = now + w.rest
@@ -97,9 +105,11 @@
 		return
 	}
 	if float64(mean) > rampFactor*float64(reference) {
+		meter.Count("home.ramp.slow", 1)
 		w.chill(now)
 		return
 	}
+	meter.Count("home.ramp.step", 1)
 	w.allowed *= 2
 	if w.allowed >= slots {
 		w.warm, w.evident, w.slowRun = true, false, 0
@@ -115,10 +125,9 @@
 }
 
 // suspect notes the latency of a reply, or of an attempt that was given up, and
-// returns to the cold limit when a warm searcher is slow all the time. Mean is
-// the searcher's estimate with this latency; peer tells that the reference is
-// another warm searcher of the group.
-func (w *warmth) suspect(now, took, mean, reference time.Duration, peer bool) {
+// returns to the cold limit when a warm searcher is slow all the time. Peer
+// tells that the reference is another warm searcher of the group.
+func (w *warmth) suspect(now, took, reference time.Duration, peer bool) {
 	if !w.warm || reference <= 0 {
 		return
 	}
@@ -126,8 +135,17 @@
 		w.slowRun = 0
 		return
 	}
-	w.slowRun++
-	if w.slowRun >= slowReplies || (peer && w.slowRun >= slowRepliesAndMean && mean > slowFactor*reference) {
+	if w.slowRun++; w.slowRun == 1 {
+		w.slowSince = now
+	}
+	replies, span := slowReplies, slowSpan
+	if !peer {
+		replies, span = slowAlone*replies, slowAlone*span
+	}
+	if w.slowRun >= replies && now-w.slowSince >= span {
+		meter.Count("home.chill.latency", 1)
+		window := w.window
 		w.chill(now)
+		w.window = window // Latency alone is no proof, so the ramp stays short.
 	}
 }
