--- a/reference/pages_test.go
+++ b/reference/pages_test.go
@@ -22,7 +22,9 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	for page, want := range map[string]string{"settings": reference.Settings(), "errors": errorsPage} {
+	for page, want := range map[string]string{
+		"settings": reference.Settings(), "errors": errorsPage, "CAPACITY": reference.Capacity(),
+	} {
 		path := "../docs/" + page + ".md"
 		if *update {
 			if err := os.WriteFile(path, []byte(want), 0o644); err != nil {
