--- a/home/cold_test.go
+++ b/home/cold_test.go
@@ -60,6 +60,31 @@
 	}
 }
 
+// Guards against warm searchers that lose their slots because a pause of the VM
+// delays all replies that are on their way.
+func TestPausesAreNoColdStart(t *testing.T) {
+	y := newYard(yardSpec{seed: 8, shards: 4, replicas: 2, slots: 3, daemons: 1, policy: catalogue.Current})
+	y.c.run(time.Second)
+	y.load(0.3, 5*time.Second)
+	for _, f := range y.fakes {
+		f.pauses = true
+	}
+	cold := 0
+	for range 100 {
+		y.load(0.3, 100*time.Millisecond)
+		for _, g := range y.sets[0].Status() {
+			for _, s := range g.Searchers() {
+				if s.State() != "warm" {
+					cold++
+				}
+			}
+		}
+	}
+	if cold > 0 {
+		t.Errorf("searchers were not warm %d times of 800", cold)
+	}
+}
+
 // Guards against load on a cold searcher while another home may be using its
 // cold limit.
 func TestColdSearcherGetsNothingBelowFullShare(t *testing.T) {
