cell: an epoch never has an empty base

Cause: the first epoch had no base, so the next one could settle without the founder, which alone was a majority of the first and kept its lease while it was cut off. Seed 2348 of the random run found it (one full home and two reserved ones); it is among the fixed seeds now. An epoch in which all members are leaving led to an empty base as well.

--- a/cell/elect.go
+++ b/cell/elect.go
@@ -151,6 +151,9 @@
 		self := []Member{c.self}
 		return &membership{
 			cell: c.cfg.cell, term: 1, epoch: 1, keeper: c.self, members: self,
+			// With an empty base nobody would have to acknowledge the next
+			// epoch, while this daemon alone is a majority of this one.
+			base:       self,
 			generation: c.config.doc.Generation, digest: c.config.digest(),
 		}
 	}
--- a/cell/hostile_test.go
+++ b/cell/hostile_test.go
@@ -97,6 +97,7 @@
 		"twice":         func(m *peerpb.Membership) { m.Members = append(m.Members, m.Members[0]) },
 		"long name":     func(m *peerpb.Membership) { m.Members[0].Domain = strings.Repeat("x", maxName+1) },
 		"many previous": func(m *peerpb.Membership) { m.Previous = make([]*peerpb.Member, maxHolders+1) },
+		"no base":       func(m *peerpb.Membership) { m.Base = nil },
 		"base ahead":    func(m *peerpb.Membership) { m.BaseEpoch = m.Epoch },
 	} {
 		m := proto.Clone(good).(*peerpb.Membership)
--- a/cell/membership.go
+++ b/cell/membership.go
@@ -50,7 +50,7 @@
 		return eris.Errorf("membership is of cell %q, not %q", m.cell, cell)
 	case m.term == 0 || m.epoch == 0 || m.baseEpoch >= m.epoch:
 		return eris.Errorf("membership has term %d, epoch %d, base %d", m.term, m.epoch, m.baseEpoch)
-	case len(m.members) == 0 || len(m.members) > maxMembers || len(m.base) > maxMembers || len(m.previous) > maxHolders:
+	case len(m.members) == 0 || len(m.members) > maxMembers || len(m.base) == 0 || len(m.base) > maxMembers || len(m.previous) > maxHolders:
 		return eris.Errorf("membership has %d members, %d of the base, %d previous", len(m.members), len(m.base), len(m.previous))
 	}
 	if _, ok := m.member(m.keeper.Incarnation()); !ok {
@@ -96,9 +96,14 @@
 
 // staying returns the members that are not leaving. A leaving member takes no
 // homes again, so it neither holds any after its last epoch is settled nor
-// votes.
+// votes. When all are leaving they all count, because an empty base could be
+// outvoted by no one.
 func staying(list []Member) []Member {
-	return slices.DeleteFunc(slices.Clone(list), Member.Leaving)
+	out := slices.DeleteFunc(slices.Clone(list), Member.Leaving)
+	if len(out) == 0 {
+		return list
+	}
+	return out
 }
 
 // union returns the members of both lists, without duplicates.
@@ -112,8 +117,7 @@
 	return out
 }
 
-// majority reports whether ok holds for more than half of list. An empty list
-// has no one to contradict.
+// majority reports whether ok holds for more than half of list.
 func majority(list []Member, ok func(Member) bool) bool {
 	n := 0
 	for _, m := range list {
@@ -121,5 +125,5 @@
 			n++
 		}
 	}
-	return len(list) == 0 || n > len(list)/2
+	return n > len(list)/2
 }
--- a/cell/random_test.go
+++ b/cell/random_test.go
@@ -21,8 +21,11 @@
 	if n, err := strconv.ParseUint(os.Getenv("MEDLARYARD_SEED"), 10, 64); err == nil {
 		first, count = n, 1
 	}
+	seeds := []uint64{2348} // The founder of the cell was cut off at epoch 1.
 	for i := range count {
-		seed := first + uint64(i)
+		seeds = append(seeds, first+uint64(i))
+	}
+	for _, seed := range seeds {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
 			randomRun(t, seed)
