daemon: leave failure domains out of service out of the address answer

Cause: the view listed every member that is not leaving, so callers went on to enter at daemons of a failure domain that operators had withdrawn. Change: entries of such domains are given out only when no other entry answers; a daemon of the domain that is asked leaves itself out too. They no longer count among the entries that share the limits. A domain that the catalogue does not list is in service. Ruled out: removal of the daemon from the membership, which would also take its homes while their searchers may be in other domains.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -139,7 +139,7 @@
 		once.WithWindow(d.cfg.OnceWindow()), once.WithRecords(d.cfg.OnceRecords()), once.WithBytes(d.cfg.OnceBytes()),
 	}
 	own, relayed := once.NewTable(tableOptions...), once.NewTable(tableOptions...)
-	limiter := admission.NewLimiter(d.clk, func() int { return len(d.view.Load().addresses) })
+	limiter := admission.NewLimiter(d.clk, func() int { return d.view.Load().addresses.entries() })
 	d.entry = entry.New(
 		d.fleet(),
 		entry.WithAdmission(limiter.Admit),
--- a/daemon/fleet.go
+++ b/daemon/fleet.go
@@ -44,15 +44,13 @@
 }
 
 // addresses lists the entries in random order, because callers try them in the
-// order of the answer. Daemons that do not answer this one are left out, and a
-// daemon without a membership lists itself.
+// order of the answer. Daemons that do not answer this one and those in a failure
+// domain out of service are left out, and a daemon that would list nobody lists
+// itself.
 func (d *daemon) addresses() []entry.Address {
-	var list []entry.Address
-	for _, a := range d.view.Load().addresses {
-		if a.member == d.cfg.Name() || d.entry.Reachable(a.member) {
-			list = append(list, a.Address)
-		}
-	}
+	list := d.view.Load().addresses.reachable(func(member string) bool {
+		return member == d.cfg.Name() || d.entry.Reachable(member)
+	})
 	if len(list) == 0 && !d.leaving.Load() {
 		return []entry.Address{entry.NewAddress(d.cfg.CallerAdvertise(), d.incarnation, d.cfg.Domain())}
 	}
--- a/daemon/shutdown.go
+++ b/daemon/shutdown.go
@@ -87,7 +87,7 @@
 			return
 		case <-t.C():
 			// The view leaves out this daemon and others that are leaving.
-			if len(d.view.Load().addresses) == 0 {
+			if d.view.Load().addresses.entries() == 0 {
 				log.Info().Msg("no daemon is left to hand homes over to")
 				return
 			}
--- a/daemon/view.go
+++ b/daemon/view.go
@@ -21,13 +21,7 @@
 	groups    []catalogue.Group
 	homes     map[string][]entry.Home
 	members   map[string]entry.Home // By incarnation.
-	addresses []callerAddress
-}
-
-// callerAddress is an entry with the name of its daemon.
-type callerAddress struct {
-	entry.Address
-	member string
+	addresses addressBook
 }
 
 // refreshLoop follows the cell.
@@ -62,7 +56,7 @@
 		self := m.Incarnation() == d.incarnation
 		if !m.Leaving() && (!self || !d.leaving.Load()) {
 			a := entry.NewAddress(m.CallerAddress(), m.Incarnation(), m.Domain())
-			v.addresses = append(v.addresses, callerAddress{a, m.Name()})
+			v.addresses.add(v.estate, callerAddress{a, m.Name()})
 		}
 	}
 	for _, s := range v.estate.Services() {
--- a/daemon/yard_test.go
+++ b/daemon/yard_test.go
@@ -35,6 +35,7 @@
 	store   *objects.Store
 	address string // Of the store.
 	fleet   *searchers.Fleet
+	text    string // The first catalogue.
 	members []*member
 }
 
@@ -51,6 +52,7 @@
 	t.Cleanup(server.Close)
 	y.address = strings.TrimPrefix(server.URL, "http://")
 	text := catalogueText(freeAddresses(t, 11))
+	y.text = text
 	estate, err := evaluate.Text("test", []byte(text), 1)
 	if err != nil {
 		t.Fatal(err)
@@ -107,10 +109,12 @@
 	}
 }
 
-func (y *yard) start(i int) {
+func (y *yard) start(i int) { y.startIn(i, "domain-a") }
+
+func (y *yard) startIn(i int, domain string) {
 	free := freeAddresses(y.t, 3)
 	spec := settings.Default()
-	spec.Name, spec.Region, spec.Domain = fmt.Sprint("vm-", i), "local", "domain-a"
+	spec.Name, spec.Region, spec.Domain = fmt.Sprint("vm-", i), "local", domain
 	spec.CallerListen, spec.CallerAdvertise = free[0], free[0]
 	spec.PeerListen, spec.PeerAdvertise = free[1], free[1]
 	spec.OperatorListen, spec.StoreAddress = free[2], y.address
