cell: read the configuration in the stored form of catalogue/publish

Cause: publish writes applied_unix_ms and the cell read the field time, so the time of application was lost. Change: DecodeDocument and Encode use publish.Current; the key is the one of publish; status states the time in the field applied. Ruled out: publish reusing the form of cell, which would make the operators' commands depend on the cell. Conclusion: a round trip test in both directions and by way of a peer.

--- a/cell/document.go
+++ b/cell/document.go
@@ -1,14 +1,15 @@
 package cell
 
 import (
-	"encoding/json"
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"medlaryard.example/medlaryard/catalogue/publish"
 )
 
 // CatalogueKey is the store key of the configuration.
-const CatalogueKey = "catalogue/current"
+const CatalogueKey = publish.Key
 
 const (
 	// maxObject is the store's limit of a value in bytes.
@@ -17,23 +18,26 @@
 	maxName = 256
 )
 
-// Document is the stored configuration, as the object catalogue/current holds it.
+// Document is the stored configuration. Package publish defines its stored form.
 type Document struct {
-	Generation uint64    `json:"generation"`
-	Token      string    `json:"token"`
-	Text       string    `json:"text"`
-	Author     string    `json:"author"`
-	Time       time.Time `json:"time"`
+	Generation uint64
+	Token      string
+	Text       string
+	Author     string
+	Time       time.Time // Wall time of the change, to the millisecond.
 }
 
 // DecodeDocument reads and checks the value of catalogue/current.
 func DecodeDocument(value []byte) (Document, error) {
-	var d Document
 	if len(value) > maxObject {
-		return d, eris.Errorf("configuration has %d bytes, the limit is %d", len(value), maxObject)
+		return Document{}, eris.Errorf("configuration has %d bytes, the limit is %d", len(value), maxObject)
+	}
+	c, err := publish.Decode(value)
+	if err != nil {
+		return Document{}, err
 	}
-	if err := json.Unmarshal(value, &d); err != nil {
-		return d, eris.Wrap(err, "configuration is not valid JSON")
+	d := Document{
+		Generation: c.Generation(), Token: c.Token(), Text: c.Text(), Author: c.Author(), Time: c.Applied(),
 	}
 	return d, d.check()
 }
@@ -43,7 +47,9 @@
 	if err := d.check(); err != nil {
 		return nil, err
 	}
-	value, err := json.Marshal(d)
+	value, err := publish.NewCurrent(publish.CurrentSpec{
+		Generation: d.Generation, Token: d.Token, Text: d.Text, Author: d.Author, Applied: d.Time,
+	}).Encode()
 	if err == nil && len(value) > maxObject {
 		err = eris.Errorf("configuration has %d bytes, the limit is %d", len(value), maxObject)
 	}
--- /dev/null
+++ b/cell/document_test.go
@@ -0,0 +1,35 @@
+package cell
+
+import (
+	"testing"
+	"time"
+
+	"medlaryard.example/medlaryard/catalogue/publish"
+)
+
+// Guards against a second definition of the stored form: what operators apply
+// must arrive complete, also by way of a peer, and the reverse.
+func TestDocumentHasStoredForm(t *testing.T) {
+	applied := time.Date(2026, 3, 1, 7, 30, 0, 250_000_000, time.UTC)
+	current := publish.NewCurrent(publish.CurrentSpec{
+		Generation: 3, Token: "token", Text: "text <&>", Author: "author", Applied: applied,
+	})
+	value, err := current.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	d, err := DecodeDocument(value)
+	want := Document{Generation: 3, Token: "token", Text: "text <&>", Author: "author", Time: applied}
+	if err != nil || d != want {
+		t.Fatalf("%+v, %v; want %+v", d, err, want)
+	}
+	if d, err = documentOf(d.wire()); err != nil || d != want {
+		t.Errorf("by way of a peer %+v, %v", d, err)
+	}
+	if value, err = d.Encode(); err != nil {
+		t.Fatal(err)
+	}
+	if back, err := publish.Decode(value); err != nil || back != current {
+		t.Errorf("read back %+v, %v; want %+v", back, err, current)
+	}
+}
--- a/cell/status.go
+++ b/cell/status.go
@@ -17,6 +17,7 @@
 	InForce        uint64        `json:"in_force_generation"` // Generation that this daemon uses.
 	InForceSince   time.Time     `json:"in_force_since"`
 	Author         string        `json:"author"`
+	Applied        time.Time     `json:"applied,omitzero"`  // When the author applied it.
 	Refused        string        `json:"refused,omitempty"` // Why the asked generation is not in force.
 	Isolated       bool          `json:"isolated"`
 	Standstill     bool          `json:"standstill"`
@@ -39,6 +40,7 @@
 		InForce:        c.config.doc.Generation,
 		InForceSince:   c.config.since,
 		Author:         c.config.doc.Author,
+		Applied:        c.config.doc.Time,
 		Refused:        c.config.refused,
 		Isolated:       c.contact.isolated(now),
 		Standstill:     c.poll.standstill,
