daemon: hand the VM list to the cell

Cause: the list was polled and never asked, so a lost member's homes waited for a majority to bar it, which two members cannot do for one. Change: vmlist.List.Listed answers only from a list younger than three polling intervals; its age counts from the question, so that a pause of this VM does not make it look new. A list without this daemon's own VM counts as unknown. Ruled out: treating a leaving VM as gone, because it still runs.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -114,8 +114,7 @@
 		Name: d.cfg.Name(), Incarnation: d.incarnation, Domain: d.cfg.Domain(), Region: d.cfg.Region(),
 		CallerAddress: d.cfg.CallerAdvertise(), PeerAddress: d.cfg.PeerAdvertise(),
 	})
-	d.cell = cell.New(
-		self,
+	options := []cell.Option{
 		cell.WithStore(d.store),
 		cell.WithName(d.cfg.Cell()),
 		cell.WithCalls(cell.Calls{Heartbeat: d.client.Heartbeat, Sync: d.client.Sync, Release: d.client.Release}),
@@ -125,7 +124,11 @@
 		cell.WithSeeds(d.cfg.Peers()),
 		cell.WithRelease(d.release),
 		cell.WithAdopt(d.adopt),
-	)
+	}
+	if d.vms != nil {
+		options = append(options, cell.WithVMs(listed(d.cfg.Name(), d.cfg.VMListInterval(), d.vms.List, d.clk.Boot)))
+	}
+	d.cell = cell.New(self, options...)
 	d.cell.OnChange(func() {
 		select {
 		case d.changed <- struct{}{}:
--- a/daemon/yard_test.go
+++ b/daemon/yard_test.go
@@ -37,6 +37,7 @@
 	fleet   *searchers.Fleet
 	text    string // The first catalogue.
 	members []*member
+	set     func(*settings.Spec) // Changes the settings of daemons to start; may be nil.
 }
 
 // member is one running daemon.
@@ -112,15 +113,9 @@
 func (y *yard) start(i int) { y.startIn(i, "domain-a") }
 
 func (y *yard) startIn(i int, domain string) {
-	free := freeAddresses(y.t, 3)
-	spec := settings.Default()
-	spec.Name, spec.Region, spec.Domain = fmt.Sprint("vm-", i), "local", domain
-	spec.CallerListen, spec.CallerAdvertise = free[0], free[0]
-	spec.PeerListen, spec.PeerAdvertise = free[1], free[1]
-	spec.OperatorListen, spec.StoreAddress = free[2], y.address
-	spec.AddressTTL = 300 * time.Millisecond
+	spec := y.spec(i, domain)
 	ctx, cancel := context.WithCancel(context.Background())
-	m := &member{callers: free[0], operators: free[2], stop: cancel, done: make(chan error, 1)}
+	m := &member{callers: spec.CallerListen, operators: spec.OperatorListen, stop: cancel, done: make(chan error, 1)}
 	go func() { m.done <- Run(ctx, settings.New(spec)) }()
 	y.members = append(y.members, m)
 	y.t.Cleanup(func() {
@@ -129,6 +124,21 @@
 	})
 }
 
+// spec returns the settings of a daemon.
+func (y *yard) spec(i int, domain string) settings.Spec {
+	free := freeAddresses(y.t, 3)
+	spec := settings.Default()
+	spec.Name, spec.Region, spec.Domain = fmt.Sprint("vm-", i), "local", domain
+	spec.CallerListen, spec.CallerAdvertise = free[0], free[0]
+	spec.PeerListen, spec.PeerAdvertise = free[1], free[1]
+	spec.OperatorListen, spec.StoreAddress = free[2], y.address
+	spec.AddressTTL = 300 * time.Millisecond
+	if y.set != nil {
+		y.set(&spec)
+	}
+	return spec
+}
+
 // freeAddresses returns loopback addresses that nothing listens on.
 func freeAddresses(t *testing.T, n int) []string {
 	t.Helper()
--- a/vmlist/reader.go
+++ b/vmlist/reader.go
@@ -113,6 +113,9 @@
 
 // Poll reads the list once. The last list is kept when it fails.
 func (r *Reader) Poll(ctx context.Context) error {
+	// The time of the reply would make a list look new when this VM was paused
+	// while it waited.
+	asked := r.clock.Boot()
 	vms, err := r.read(ctx)
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -122,7 +125,7 @@
 		return err
 	}
 	meter.Count("vmlist.poll.ok", 1)
-	r.last = NewList(vms, r.clock.Boot())
+	r.last = NewList(vms, asked)
 	return nil
 }
 
