daemon: log and count standstill and isolation

Cause: both were visible in status only, so nobody on duty later saw that they had happened, when, or for how long. Change: the refresh loop observes the cell's status; the begin is a warning, the end a line with the time that it took, each with a counter daemon.standstill.* and daemon.isolation.*. In its first 3 s a daemon that has reached nothing yet is starting, not isolated. Conclusion: a table test of the lines and counters, and a daemon that loses its store counts the begin and the end.

--- a/daemon/view.go
+++ b/daemon/view.go
@@ -28,6 +28,7 @@
 func (d *daemon) refreshLoop() {
 	t := time.NewTicker(refreshInterval)
 	defer t.Stop()
+	cs := newConditions(d.clk.Boot())
 	for {
 		select {
 		case <-d.ctx.Done():
@@ -38,6 +39,7 @@
 		case <-t.C:
 			d.refreshShares(false)
 		}
+		cs.observe(d.clk.Boot(), d.cell.Status())
 	}
 }
 
