--- a/daemon/yard_test.go
+++ b/daemon/yard_test.go
@@ -35,7 +35,9 @@
 	store   *objects.Store
 	address string // Of the store.
 	fleet   *searchers.Fleet
+	text    string // The first catalogue.
 	members []*member
+	set     func(*settings.Spec) // Changes the settings of daemons to start; may be nil.
 }
 
 // member is one running daemon.
@@ -51,6 +53,7 @@
 	t.Cleanup(server.Close)
 	y.address = strings.TrimPrefix(server.URL, "http://")
 	text := catalogueText(freeAddresses(t, 11))
+	y.text = text
 	estate, err := evaluate.Text("test", []byte(text), 1)
 	if err != nil {
 		t.Fatal(err)
@@ -107,16 +110,12 @@
 	}
 }
 
-func (y *yard) start(i int) {
-	free := freeAddresses(y.t, 3)
-	spec := settings.Default()
-	spec.Name, spec.Region, spec.Domain = fmt.Sprint("vm-", i), "local", "domain-a"
-	spec.CallerListen, spec.CallerAdvertise = free[0], free[0]
-	spec.PeerListen, spec.PeerAdvertise = free[1], free[1]
-	spec.OperatorListen, spec.StoreAddress = free[2], y.address
-	spec.AddressTTL = 300 * time.Millisecond
+func (y *yard) start(i int) { y.startIn(i, "domain-a") }
+
+func (y *yard) startIn(i int, domain string) {
+	spec := y.spec(i, domain)
 	ctx, cancel := context.WithCancel(context.Background())
-	m := &member{callers: free[0], operators: free[2], stop: cancel, done: make(chan error, 1)}
+	m := &member{callers: spec.CallerListen, operators: spec.OperatorListen, stop: cancel, done: make(chan error, 1)}
 	go func() { m.done <- Run(ctx, settings.New(spec)) }()
 	y.members = append(y.members, m)
 	y.t.Cleanup(func() {
@@ -125,6 +124,21 @@
 	})
 }
 
+// spec returns the settings of a daemon.
+func (y *yard) spec(i int, domain string) settings.Spec {
+	free := freeAddresses(y.t, 3)
+	spec := settings.Default()
+	spec.Name, spec.Region, spec.Domain = fmt.Sprint("vm-", i), "local", domain
+	spec.CallerListen, spec.CallerAdvertise = free[0], free[0]
+	spec.PeerListen, spec.PeerAdvertise = free[1], free[1]
+	spec.OperatorListen, spec.StoreAddress = free[2], y.address
+	spec.AddressTTL = 300 * time.Millisecond
+	if y.set != nil {
+		y.set(&spec)
+	}
+	return spec
+}
+
 // freeAddresses returns loopback addresses that nothing listens on.
 func freeAddresses(t *testing.T, n int) []string {
 	t.Helper()
