--- a/entry/failover_test.go
+++ b/entry/failover_test.go
@@ -153,3 +153,35 @@
 		})
 	}
 }
+
+// Guards against a home that falls silent right after it has answered another
+// query, which hid its silence from the queries that it already had, and against
+// more of these than a small burst that miss their answer although the budget was
+// earned.
+func TestHomeSilentAfterAnotherAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 1)
+		w.record("b")
+		for i := range worldShards {
+			w.e.table.learn(groupID(i), w.labels(groupID(i)))
+		}
+		const queries = 40
+		for range 100 * queries {
+			w.e.budget.earn("songs", 0.05, worldShards, worldShards)
+		}
+		var wg sync.WaitGroup
+		for k := range queries {
+			wg.Go(func() {
+				time.Sleep(time.Duration(k) * time.Millisecond)
+				a, err := w.e.Search(context.Background(), query("q"), w.clk.Boot())
+				if err != nil || len(a.missing) > 0 {
+					t.Errorf("query %d: %+v, %v", k, a, err)
+				}
+			})
+		}
+		time.Sleep(queries / 2 * time.Millisecond)
+		w.e.reach.answered(NewHome(HomeSpec{Name: "b"}))
+		wg.Wait()
+		time.Sleep(5 * time.Second)
+	})
+}
--- a/entry/fanout.go
+++ b/entry/fanout.go
@@ -65,7 +65,8 @@
 	now := f.s.e.clk.Boot()
 	f.s.e.budget.earn(f.s.service.Name(), f.s.service.ExtraBudget(), len(lanes), len(f.p.lanes))
 	f.send(ctx, lanes)
-	silence := f.s.e.clk.NewTimer(min(maxSilence, fractionOf(f.s.deadline-now, silenceFraction)))
+	patience := min(maxSilence, fractionOf(f.s.deadline-now, silenceFraction))
+	silence := f.s.e.clk.NewTimer(patience)
 	defer silence.Stop()
 	f.again = f.s.e.clk.NewTimer(time.Hour)
 	defer f.again.Stop()
@@ -77,7 +78,7 @@
 				return
 			}
 		case <-silence.C():
-			f.passOver(ctx)
+			silence.Reset(f.passOver(ctx, patience))
 		case <-f.again.C():
 			f.unpark(ctx)
 		case <-ctx.Done():
@@ -160,10 +161,18 @@
 	}
 }
 
-// passOver sends the lanes of silent daemons to acting homes, within the budget.
-func (f *fanout) passOver(ctx context.Context) {
+// passOver sends the lanes of daemons that have been silent for the patience to
+// acting homes, within the budget. It returns the time until it is due again: a
+// daemon may have answered another query after it received this one, and then
+// fall silent.
+func (f *fanout) passOver(ctx context.Context, patience time.Duration) time.Duration {
+	now, next := f.s.e.clk.Boot(), patience
 	for _, b := range f.batches {
-		if b.answered || b.given || b.home.Self() || f.s.e.reach.heardSince(b.home, b.sent) {
+		if b.answered || b.given || b.home.Self() {
+			continue
+		}
+		if left := patience - (now - max(b.sent, f.s.e.reach.heard(b.home))); left > 0 {
+			next = min(next, left)
 			continue
 		}
 		f.s.e.reach.failed(b.home)
@@ -175,6 +184,7 @@
 		meter.Retried("entry", refusal.HomeUnreachable)
 		f.send(ctx, lanes)
 	}
+	return next
 }
 
 func (f *fanout) open(lanes []int) []int {
--- a/entry/reach.go
+++ b/entry/reach.go
@@ -55,11 +55,11 @@
 	r.peers[h.Name()] = c
 }
 
-// heardSince reports whether the daemon answered after the boot time.
-func (r *reach) heardSince(h Home, since time.Duration) bool {
+// heard returns the boot time of the daemon's latest answer.
+func (r *reach) heard(h Home) time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.peers[h.Name()].answered > since
+	return r.peers[h.Name()].answered
 }
 
 // up reports whether the daemon should be tried. After the pause one caller
