--- a/admission/trial_test.go
+++ b/admission/trial_test.go
@@ -92,6 +92,57 @@
 	time.Sleep(time.Second)
 }
 
+// Guards against resends that crash searchers at the homes of other daemons
+// after these have the strike, and against more than two crashes at a daemon that
+// hears of none.
+func TestSequentialResendsToDifferentDaemons(t *testing.T) {
+	const count, spreadTime = 5, time.Millisecond
+	for _, test := range []struct {
+		name      string
+		delivered bool
+		bound     int
+	}{
+		{"strikes arrive before the resend", true, secondCrash},
+		{"no strike arrives", false, count * secondCrash},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			clk := bubble{start: time.Now()}
+			crashes, refused := 0, 0
+			daemons, homes := make([]*Suspects, count), make([]*Trial, count)
+			for i := range daemons {
+				daemons[i] = NewSuspects(clk, func(strikes []*peerpb.CrashStrike) {
+					go func() {
+						time.Sleep(spreadTime)
+						for _, d := range daemons {
+							if test.delivered {
+								d.Merge(strikes)
+							}
+						}
+					}()
+				})
+				homes[i] = NewTrial(daemons[i], func(context.Context, shard.Request) shard.Result {
+					crashes++
+					return shard.NewResult(shard.ResultSpec{Kind: refusal.SearcherFailed, Ran: refusal.DidRun, Crashed: true})
+				})
+			}
+			for id := range 10 * count {
+				i := id % count
+				known := daemons[i].Crashes(poison)
+				r := homes[i].Do(context.Background(), shard.NewRequest(shard.RequestSpec{
+					ID: fmt.Sprint(id), Fingerprint: poison, Suspect: known == firstCrash, Idempotent: true,
+				}))
+				if r.Kind() == refusal.Poisoned {
+					refused++
+				}
+				time.Sleep(2 * spreadTime)
+			}
+			if crashes != test.bound || refused != 10*count-crashes {
+				t.Errorf("%s: %d crashes, %d refusals, the bound is %d", test.name, crashes, refused, test.bound)
+			}
+		})
+	}
+}
+
 // Guards against two runs of one suspect at the same time, and against a
 // suspect fan-out that is refused because of its own other shards.
 func TestSuspectRunsAlone(t *testing.T) {
