daemon: report applied shares to the cell

Cause: the cell ends the lease of shares that the homes do not have yet, and withholds groups that were told to stop, once the daemon reports what it applied. The daemon never did, so after a pause it could send by its old shares under a new lease until the next refresh. Change: each refresh reads the key of the shares first, applies them, and reports the key, also when nothing changed.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -55,6 +55,7 @@
 	view    atomic.Pointer[view]
 	changed chan struct{}
 	strikes *herald
+	source  shareSource
 	shares  shareLog
 	leaving atomic.Bool
 	failed  chan error // Holds the first failure of a listener.
@@ -129,6 +130,7 @@
 		options = append(options, cell.WithVMs(listed(d.cfg.Name(), d.cfg.VMListInterval(), d.vms.List, d.clk.Boot)))
 	}
 	d.cell = cell.New(self, options...)
+	d.source = shareSource{key: d.cell.ShareKey, share: d.cell.Share, applied: d.cell.Applied}
 	d.cell.OnChange(func() {
 		select {
 		case d.changed <- struct{}{}:
--- a/daemon/view.go
+++ b/daemon/view.go
@@ -90,13 +90,9 @@
 // or apply is set.
 func (d *daemon) refreshShares(apply bool) {
 	v := d.view.Load()
-	shares := make(map[string]lease.Share)
-	for _, g := range v.groups {
-		if s := d.cell.Share(g); s != lease.None {
-			shares[g.ID()] = s
+	d.source.pass(v.groups, func(shares map[string]lease.Share) {
+		if d.shares.set(shares, time.Now()) || apply {
+			d.homes.Apply(home.NewAssignment(home.AssignmentSpec{Estate: v.estate, Shares: shares}))
 		}
-	}
-	if d.shares.set(shares, time.Now()) || apply {
-		d.homes.Apply(home.NewAssignment(home.AssignmentSpec{Estate: v.estate, Shares: shares}))
-	}
+	})
 }
