home: read the end of the lease once for each send

Cause: send read the lease's end twice, in its check and in the invariant. The cell may end and renew the lease in between, from another goroutine; on a busy machine this broke home.send_within_lease below armHedge, dispatch and consider. Two further ways to an invariant on that path were found: a searcher that two moves cover was checked against the first credit only (home.canary_share), and a task whose attempt had crashed a searcher could be sent again when its other attempt was not written.

Ruled out: a task removed while dispatch iterates (only the considered task leaves the queue, and neither reply nor cancel re-enters the group), and a hedge of a finished task.

Change: one read serves the check, the invariant and the call's deadline; a hedge after the lease's end returns its token and leaves the first attempt alone; all moves have to permit a searcher; a crash ends the task.

--- a/home/dispatch.go
+++ b/home/dispatch.go
@@ -87,11 +87,12 @@
 // send starts an attempt. All sends pass here, and every promise about them is
 // checked here.
 func (g *group) send(t *task, m *member, now time.Duration, paid bool) {
-	if g.leaseOver(now) {
-		g.refuse(t, refusal.New(refusal.NotHome, "the home lease has ended"))
+	end := g.set.leaseEnd() // Read once, because another goroutine may change it.
+	if end <= now {
+		g.unleased(t, paid)
 		return
 	}
-	invariant.Check(sendLease, g.open() && !g.leaseOver(now), "group %s has share %s", g.id, g.share)
+	invariant.Check(sendLease, g.open() && now < end, "group %s has share %s", g.id, g.share)
 	invariant.Check(sendUsable, m.usable(), "searcher %s of group %s", m.spec.Name(), g.id)
 	invariant.Check(sendLimit, m.inflight < m.limit(g.share) && m.inflight < m.slots(),
 		"searcher %s runs %d of %d", m.spec.Name(), m.inflight, m.limit(g.share))
@@ -99,7 +100,7 @@
 		"searcher %s is cold at share %s", m.spec.Name(), g.share)
 	invariant.Check(sendSnapshot, m.holds(t.req.Snapshot()), "searcher %s, snapshot %d", m.spec.Name(), t.req.Snapshot())
 	invariant.Check(sendOnce, t.req.Idempotent() || t.notRun(), "request %s, outcome so far %s", t.req.ID(), t.ran)
-	invariant.Check(sendSuspect, !t.req.Suspect() || t.sends == 0, "request %s", t.req.ID())
+	invariant.Check(sendSuspect, (!t.req.Suspect() || t.sends == 0) && !t.crashed, "request %s", t.req.ID())
 	invariant.Check(sendAfterReply, !t.done, "request %s", t.req.ID())
 
 	for _, c := range g.credits {
@@ -117,11 +118,23 @@
 	if a.first {
 		g.armHedge(t, now)
 	}
-	a.cancel = m.target.Send(g.call(a), func(r searcher.Reply, f *searcher.Failure) { g.ended(a, r, f) })
+	a.cancel = m.target.Send(g.call(a, end), func(r searcher.Reply, f *searcher.Failure) { g.ended(a, r, f) })
 }
 
-// call is the message to the searcher. Its deadline is no later than the lease.
-func (g *group) call(a *attempt) searcher.Call {
+// unleased ends a task that was to be sent after the lease's end. A hedge is
+// only dropped, because its first attempt was sent in time.
+func (g *group) unleased(t *task, paid bool) {
+	if paid {
+		g.service.budget.refund()
+	}
+	if len(t.running) == 0 {
+		g.refuse(t, refusal.New(refusal.NotHome, "the home lease has ended"))
+	}
+}
+
+// call is the message to the searcher. Its deadline is no later than the end of
+// the lease.
+func (g *group) call(a *attempt, end time.Duration) searcher.Call {
 	req := a.t.req
 	return searcher.NewCall(searcher.CallSpec{
 		ID:        req.ID(),
@@ -130,7 +143,7 @@
 		Snapshot:  req.Snapshot(),
 		Limit:     req.Limit(),
 		Announced: a.m.label(req.Snapshot()),
-		Deadline:  min(a.t.deadline, g.set.leaseEnd()),
+		Deadline:  min(a.t.deadline, end),
 		Run:       !req.Idempotent(),
 		Body:      req.Body(),
 		Patience:  g.patience(a.t),
@@ -144,15 +157,18 @@
 func (g *group) permit(a *attempt) *refusal.Error {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	switch c := g.credit(a.m); {
+	switch {
 	case a.t.done:
 		return refusal.New(refusal.Cancelled, "the result is not awaited any more")
 	case !g.open() || g.leaseOver(g.set.clock.Boot()):
 		return refusal.New(refusal.NotHome, "the home lease has ended")
 	case !a.m.usable():
 		return refusal.New(refusal.NoSearcher, "searcher %s takes no new work", a.m.spec.Name())
-	case c != nil && c.share == 0:
-		return refusal.New(refusal.NoSearcher, "version %s was stopped", c.to)
+	}
+	for _, c := range g.credits {
+		if c.covers(a.m) && c.share == 0 {
+			return refusal.New(refusal.NoSearcher, "version %s was stopped", c.to)
+		}
 	}
 	return nil
 }
--- a/home/ended.go
+++ b/home/ended.go
@@ -55,6 +55,10 @@
 		return
 	}
 	t.hedging, t.silent = false, nil
+	if t.crashed {
+		g.refuse(t, f.Error)
+		return
+	}
 	if a.replaced {
 		t.prepaid, t.retry = true, refusal.SearcherFailed
 		g.requeue(t, f.Error)
--- a/home/fake_test.go
+++ b/home/fake_test.go
@@ -37,6 +37,7 @@
 	dead       bool
 	poison     string // A request of this route crashes it.
 	wrongLabel bool
+	states     string // Version that it states; empty is the listed one.
 	boot       int
 	snapshots  []uint64
 
@@ -96,7 +97,7 @@
 			labels = append(labels, f.label(s))
 		}
 		done(searcher.NewHealth(searcher.HealthSpec{
-			State: state, Version: f.spec.Version(), Boot: string(rune('a' + f.boot)), Labels: labels,
+			State: state, Version: f.version(), Boot: string(rune('a' + f.boot)), Labels: labels,
 		}), nil)
 	})
 }
@@ -198,6 +199,13 @@
 	f.c.AfterFunc(f.serviceTime(), x.complete)
 }
 
+func (f *fake) version() string {
+	if f.states != "" {
+		return f.states
+	}
+	return f.spec.Version()
+}
+
 func (f *fake) holds(snapshot uint64) bool {
 	for _, s := range f.snapshots {
 		if snapshot == 0 || s == snapshot {
@@ -225,7 +233,7 @@
 		snapshot = x.f.snapshots[0]
 	}
 	x.f.c.AfterFunc(x.f.hop, func() {
-		x.end(searcher.NewReply(searcher.ReplySpec{Version: x.f.spec.Version(), Label: x.f.label(snapshot)}), nil)
+		x.end(searcher.NewReply(searcher.ReplySpec{Version: x.f.version(), Label: x.f.label(snapshot)}), nil)
 	})
 }
 
--- a/home/pick.go
+++ b/home/pick.go
@@ -1,6 +1,7 @@
 package home
 
 import (
+	"slices"
 	"time"
 
 	"medlaryard.example/medlaryard/catalogue"
@@ -28,18 +29,24 @@
 	if !m.usable() || !m.holds(t.req.Snapshot()) || (t.warmOnly && !m.warmth.warm) {
 		return false
 	}
-	c := g.credit(m)
-	return c == nil || c.allowed()
+	return g.permitted(m)
 }
 
-// credit returns the credit that a send to the searcher needs; nil for none.
-func (g *group) credit(m *member) *credit {
+// permitted reports whether the moves let the next send go to the searcher. A
+// searcher may need the credit of several moves, because the version that it
+// states counts as well as the listed one.
+func (g *group) permitted(m *member) bool {
 	for _, c := range g.credits {
-		if c.covers(m) {
-			return c
+		if c.covers(m) && !c.allowed() {
+			return false
 		}
 	}
-	return nil
+	return true
+}
+
+// moving reports whether a move leads to the searcher's version.
+func (g *group) moving(m *member) bool {
+	return slices.ContainsFunc(g.credits, func(c *credit) bool { return c.covers(m) })
 }
 
 // pick returns the searcher for the task's next send, or nil when the task has
@@ -57,8 +64,7 @@
 // due reports whether the searcher runs a new version whose share is due, and
 // has room for it.
 func (g *group) due(m *member) bool {
-	c := g.credit(m)
-	return c != nil && m.inflight+m.virtual < m.limit(g.share)
+	return g.moving(m) && m.inflight+m.virtual < m.limit(g.share)
 }
 
 // best returns the searcher with the lowest cost among those that fit and are
@@ -106,7 +112,7 @@
 			continue
 		}
 		holding = true
-		if c := g.credit(m); c != nil && !c.allowed() {
+		if !g.permitted(m) {
 			continue
 		}
 		permitted = true
--- a/home/yard_test.go
+++ b/home/yard_test.go
@@ -45,6 +45,7 @@
 	crashes chan uint64
 	runs    map[string]int
 	lease   time.Duration
+	lapses  bool // The lease is over at one read in 20, as another goroutine may end and renew it at any time.
 
 	latency []time.Duration // Of complete answers.
 	partial int
@@ -62,7 +63,12 @@
 		y.sets = append(y.sets, NewSet(
 			WithClock(y.c),
 			WithRandom(rand.New(rand.NewPCG(spec.seed, 2))),
-			WithLeaseEnd(func() time.Duration { return y.lease }),
+			WithLeaseEnd(func() time.Duration {
+				if y.lapses && y.r.IntN(20) == 0 {
+					return 0
+				}
+				return y.lease
+			}),
 			WithCrash(func(f uint64) { y.crashes <- f }),
 			WithTargets(func(s *catalogue.Searcher) *searcher.Target {
 				f := y.fakes[s.Name()]
