home: pass over searchers with errors; end the wait for a token early

Cause: an error had no influence on the pick, so a failure domain with 20% errors kept its half of the sub-requests and 10% of them needed a token where the budget gives 5%; tasks without a token waited until the deadline and hid the reason.

Change: the expected service time of a searcher rises with its rate of errors, which decays with the half-life of the estimate. The rate is kept apart from the estimate, because other searchers are compared with that. A task that waits for a token longer than the service's patience is refused with the end of its last attempt, and counted in home.retry.starved.

--- a/home/dispatch.go
+++ b/home/dispatch.go
@@ -74,9 +74,11 @@
 	}
 	paid := t.extra()
 	if paid && !t.prepaid && !g.service.budget.take(0) {
+		g.starve(t)
 		return // The next arrivals earn a token.
 	}
 	g.queue.remove(t)
+	t.sated()
 	t.prepaid = false
 	if paid {
 		meter.Retried("home", t.retry)
--- a/home/ended.go
+++ b/home/ended.go
@@ -34,6 +34,7 @@
 		a.version = r.Version()
 	}
 	m.failures, m.lastReply = 0, now
+	m.errors.observe(now, 0)
 	g.service.ledger.answered(a.version, a.t.req.Route(), took)
 	g.observe(a, took, now)
 	if !a.t.done {
@@ -95,6 +96,7 @@
 // requeue lets a task wait to be sent again, or refuses it with e when too many
 // such tasks wait.
 func (g *group) requeue(t *task, e *refusal.Error) {
+	t.cause = e
 	if t.in == nil && !g.queue.repeat(t, g.queueBound()) {
 		g.refuse(t, e)
 	}
@@ -127,6 +129,10 @@
 		}
 	}
 	switch f.Fault() {
+	case searcher.FaultReply, searcher.FaultStatus, searcher.FaultBroken:
+		if f.Kind() != refusal.Cancelled {
+			m.errors.observe(now, 1)
+		}
 	case searcher.FaultShed, searcher.FaultCold:
 		m.warmth.refuse(now)
 		t.warmOnly = true
--- a/home/fake_test.go
+++ b/home/fake_test.go
@@ -37,7 +37,8 @@
 	dead       bool
 	poison     string // A request of this route crashes it.
 	wrongLabel bool
-	states     string // Version that it states; empty is the listed one.
+	errors     float64 // Part of the requests that it answers with an error.
+	states     string  // Version that it states; empty is the listed one.
 	boot       int
 	snapshots  []uint64
 
@@ -228,6 +229,10 @@
 		x.later(searcher.FaultReply, refusal.BadReply, refusal.Unknown)
 		return
 	}
+	if x.f.errors > 0 && x.f.r.Float64() < x.f.errors {
+		x.later(searcher.FaultStatus, refusal.SearcherFailed, refusal.Unknown)
+		return
+	}
 	snapshot := x.call.Snapshot()
 	if snapshot == 0 {
 		snapshot = x.f.snapshots[0]
--- a/home/hedge.go
+++ b/home/hedge.go
@@ -32,7 +32,7 @@
 	})
 }
 
-// hedgeSlack is the highest ratio of a searcher's latency to the group's median
+// hedgeSlack is the highest ratio of a searcher's expected latency to the group's median
 // at which a hedge to it is likely to win.
 const hedgeSlack = 2
 
@@ -52,7 +52,7 @@
 	}
 	m := g.best(t, now, func(m *member) bool {
 		return m.warmth.warm && !t.hasTried(m) && g.room(m, now) > m.virtual &&
-			m.estimate.read(now, g.median) <= hedgeSlack*g.median
+			m.expected(now, g.median) <= hedgeSlack*g.median
 	})
 	if m == nil || !g.service.budget.take(reserve) {
 		return
--- a/home/member.go
+++ b/home/member.go
@@ -21,6 +21,7 @@
 	virtual    int // Queued requests that the present dispatch round expects here.
 	estimate   estimate
 	usual      usual
+	errors     errorRate
 	warmth     warmth
 	labels     []shard.Label
 	claimed    searcher.State // Empty before the first health answer.
@@ -104,7 +105,7 @@
 func (m *member) renew() {
 	limit := m.warmth.coldLimit
 	m.warmth = newWarmth(limit)
-	m.usual = usual{}
+	m.usual, m.errors = usual{}, errorRate{}
 }
 
 // knowledge is what the home passes on to the next one.
--- a/home/pick.go
+++ b/home/pick.go
@@ -93,7 +93,7 @@
 	if g.policy == catalogue.Baseline {
 		return wait
 	}
-	return (max(1, wait) + loadWeight*n/float64(m.slots())) * m.estimate.read(now, g.median)
+	return (max(1, wait) + loadWeight*n/float64(m.slots())) * m.expected(now, g.median)
 }
 
 // hopeless returns the reason why waiting cannot help the task; nil when a
--- a/home/result.go
+++ b/home/result.go
@@ -73,6 +73,7 @@
 	if t.hedge != nil {
 		t.hedge.Stop()
 	}
+	t.sated()
 	for _, a := range t.running {
 		meter.Count("home.cancelled", 1)
 		a.cancel()
--- a/home/task.go
+++ b/home/task.go
@@ -27,8 +27,10 @@
 	silent   *attempt // Its connection is silent; it waits to be sent over another.
 	prepaid  bool     // Its next send has its token already.
 	crashed  bool
-	warmOnly bool         // A cold searcher refused it; only warm ones may run it.
-	retry    refusal.Kind // Reason of the retry that it waits for.
+	warmOnly bool           // A cold searcher refused it; only warm ones may run it.
+	retry    refusal.Kind   // Reason of the retry that it waits for.
+	cause    *refusal.Error // End of its last attempt.
+	starved  clock.Timer    // Runs while it waits for a token; nil otherwise.
 	ran      refusal.Ran
 	expiry   clock.Timer
 	hedge    clock.Timer
