home: finished moves leave the old version; probe slow cold searchers

Cause: at share 1 the old version still competed by expected completion and kept half of the requests. A cold searcher of the new version was kept busy at its cold limit for the sake of the share however slow it was, so that with a fan-out of 10 most queries met one; and a request could wait for it while a warm searcher of the old version was slow but free.

Change: at share 1 the old version gets nothing while the new one can take requests, as soon as a searcher of the new one has been warm; before that only warm old searchers help out. A slow cold searcher gets one request a second for the sake of the share. No request waits for a cold new searcher while a warm one has room. Moves are kept in the catalogue's order, since only the last one from or to a version decides whether it is left.

Ruled out: a limit by errors, which a bad version has to show soon.

--- a/home/apply.go
+++ b/home/apply.go
@@ -174,14 +174,14 @@
 func (g *group) creditsLocked() {
 	old := g.credits
 	g.credits = nil
-	for to, share := range g.service.moves() {
-		c := &credit{to: to}
+	for _, m := range g.service.moves() {
+		c := &credit{move: m.name, from: m.from, to: m.to}
 		for _, o := range old {
-			if o.to == to {
+			if o.move == m.name && o.from == m.from && o.to == m.to {
 				c = o
 			}
 		}
-		c.setShare(share)
+		c.setShare(m.share)
 		g.credits = append(g.credits, c)
 	}
 }
--- a/home/credit.go
+++ b/home/credit.go
@@ -12,18 +12,22 @@
 // credit gives a new version its share of the sends of one group. Every send
 // earns the share, a send to the new version costs 1 and needs that much.
 type credit struct {
+	move   string
+	from   string // The old version.
 	to     string // The new version.
 	share  float64
 	value  float64
 	earned float64
 	spent  float64
+
+	complete bool // A searcher of the new version has been warm at the full share.
 }
 
 // setShare changes the share. A lower share takes effect at once, without the
 // credit earned before.
 func (c *credit) setShare(share float64) {
 	if share < c.share {
-		c.value = 0
+		c.value, c.complete = 0, false
 	}
 	c.share = share
 }
@@ -35,6 +39,11 @@
 // its own statement.
 func (c *credit) covers(m *member) bool { return m.spec.Version() == c.to || m.version == c.to }
 
+// leaves reports whether the searcher runs the old version only.
+func (c *credit) leaves(m *member) bool {
+	return (m.spec.Version() == c.from || m.version == c.from) && !c.covers(m)
+}
+
 // sent counts a send to the searcher.
 func (c *credit) sent(m *member) {
 	c.value += c.share
--- a/home/dispatch.go
+++ b/home/dispatch.go
@@ -115,6 +115,7 @@
 		t.tried = append(t.tried, m)
 	}
 	m.inflight++
+	m.lastSend = now
 	g.inflight++
 	g.turn++
 	if a.first {
--- a/home/group.go
+++ b/home/group.go
@@ -38,7 +38,7 @@
 	lastUse  time.Duration
 	members  []*member
 	gone     []*member // Removed, with attempts in flight.
-	credits  []*credit // One for each version that a move leads to.
+	credits  []*credit // One for each move, in the order of the catalogue.
 	queue    queue
 	inflight int
 	turn     int // Where the next search for a searcher starts.
--- a/home/member.go
+++ b/home/member.go
@@ -34,6 +34,7 @@
 	removed    bool
 	failures   int // Failed health requests in a row.
 	lastReply  time.Duration
+	lastSend   time.Duration
 	poll       clock.Timer
 	polling    bool
 }
--- a/home/pick.go
+++ b/home/pick.go
@@ -1,7 +1,6 @@
 package home
 
 import (
-	"slices"
 	"time"
 
 	"medlaryard.example/medlaryard/catalogue"
@@ -29,42 +28,27 @@
 	if !m.usable() || !m.holds(t.req.Snapshot()) || (t.warmOnly && !m.warmth.warm) {
 		return false
 	}
-	return g.permitted(m)
-}
-
-// permitted reports whether the moves let the next send go to the searcher. A
-// searcher may need the credit of several moves, because the version that it
-// states counts as well as the listed one.
-func (g *group) permitted(m *member) bool {
-	for _, c := range g.credits {
-		if c.covers(m) && !c.allowed() {
-			return false
-		}
-	}
-	return true
-}
-
-// moving reports whether a move leads to the searcher's version.
-func (g *group) moving(m *member) bool {
-	return slices.ContainsFunc(g.credits, func(c *credit) bool { return c.covers(m) })
+	return g.permitted(t, m)
 }
 
 // pick returns the searcher for the task's next send, or nil when the task has
 // to wait for a better one than is free now.
 func (g *group) pick(t *task, now time.Duration) *member {
-	if m := g.best(t, now, g.due); m != nil {
+	if m := g.best(t, now, func(m *member) bool { return g.due(m, now) }); m != nil {
 		return m
 	}
-	if m := g.best(t, now, func(m *member) bool { return !t.hasTried(m) }); m != nil {
+	m := g.best(t, now, func(m *member) bool { return !t.hasTried(m) })
+	if m == nil {
+		m = g.best(t, now, func(*member) bool { return true })
+	}
+	if m == nil || m.warmth.warm || !g.moving(m) || m.virtual < g.room(m, now) {
 		return m
 	}
-	return g.best(t, now, func(*member) bool { return true })
-}
-
-// due reports whether the searcher runs a new version whose share is due, and
-// has room for it.
-func (g *group) due(m *member) bool {
-	return g.moving(m) && m.inflight+m.virtual < m.limit(g.share)
+	// No request waits for a cold searcher of a new version while a warm one has room.
+	if w := g.best(t, now, func(m *member) bool { return m.warmth.warm && m.virtual < g.room(m, now) }); w != nil {
+		return w
+	}
+	return m
 }
 
 // best returns the searcher with the lowest cost among those that fit and are
@@ -112,7 +96,7 @@
 			continue
 		}
 		holding = true
-		if !g.permitted(m) {
+		if !g.permitted(t, m) {
 			continue
 		}
 		permitted = true
--- a/home/service.go
+++ b/home/service.go
@@ -44,13 +44,19 @@
 	s.shares[move] = min(max(share, 0), 1)
 }
 
-// moves returns the new version of each move with its share.
-func (s *service) moves() map[string]float64 {
+// moveShare is a move between versions with its present share.
+type moveShare struct {
+	name, from, to string
+	share          float64
+}
+
+// moves returns the moves in the order of the catalogue.
+func (s *service) moves() []moveShare {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	moves := make(map[string]float64, len(s.spec.Moves()))
+	moves := make([]moveShare, 0, len(s.spec.Moves()))
 	for _, m := range s.spec.Moves() {
-		moves[m.To()] = s.shares[m.Name()]
+		moves = append(moves, moveShare{name: m.Name(), from: m.From(), to: m.To(), share: s.shares[m.Name()]})
 	}
 	return moves
 }
