home: leave entries their part of the extra budget

Cause: homes spent the whole extra budget, and entries may spend a fifth of it on restarts of fan-outs, so that both together could send 6% of 5% allowed.

Change: homes earn 0.8 of the budget. Neither side knows what the other spent, hence fixed parts.

--- a/home/budget.go
+++ b/home/budget.go
@@ -10,6 +10,11 @@
 const extraBudget invariant.Name = "home.extra_budget"
 
 const (
+	// homeShare is the part of a service's extra budget that homes may spend.
+	// Entries may spend the other 20% on restarts of fan-outs, and neither knows
+	// what the other spent, so that only fixed parts keep the sum within the
+	// budget.
+	homeShare = 0.8
 	// initialTokens lets the first requests of a quiet service be retried.
 	initialTokens = 2
 	// maxTokens bounds the burst of extra requests after a calm period.
@@ -32,15 +37,17 @@
 	subs   int64
 }
 
-func newBudget(ratio float64) *budget {
-	return &budget{ratio: ratio, tokens: initialTokens, earned: initialTokens}
+// newBudget returns a budget for a service with the given share of extra requests.
+func newBudget(extra float64) *budget {
+	return &budget{ratio: homeShare * extra, tokens: initialTokens, earned: initialTokens}
 }
 
-func (b *budget) setRatio(ratio float64) {
+// setExtra changes the service's share of extra requests.
+func (b *budget) setExtra(extra float64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.ratio = ratio
-	if ratio <= 0 {
+	b.ratio = homeShare * extra
+	if extra <= 0 {
 		b.tokens = 0
 	}
 }
--- a/home/failing_test.go
+++ b/home/failing_test.go
@@ -80,3 +80,18 @@
 		t.Errorf("%d refusals, the last after %v of 1s", early, slowest)
 	}
 }
+
+// Guards against homes that spend the entries' part of the extra budget, so
+// that both together exceed it.
+func TestHomesLeaveEntriesTheirPart(t *testing.T) {
+	y := newFailing(1, 0.5, 0.5)
+	subs, extra := y.counts()
+	y.load(0.3, 20*time.Second)
+	y.apply() // Installs the budget of the catalogue again.
+	y.load(0.3, 20*time.Second)
+	after, spent := y.counts()
+	// What was saved up before is spent once.
+	if got, most := spent-extra, 0.8*0.05*float64(after-subs)+maxTokens; float64(got) > most || got == 0 {
+		t.Errorf("%d extra requests, %g are the homes' part", got, most)
+	}
+}
--- a/home/service.go
+++ b/home/service.go
@@ -30,7 +30,7 @@
 
 // update installs the catalogue's present description of the service.
 func (s *service) update(spec *catalogue.Service) {
-	s.budget.setRatio(spec.ExtraBudget())
+	s.budget.setExtra(spec.ExtraBudget())
 	s.sketch.setQuantile(spec.HedgeQuantile())
 	s.mu.Lock()
 	defer s.mu.Unlock()
