home: count sends when they are written; return unused tokens

Cause: sends had no counter, and hedges and retries were counted when they were decided, also if they were withdrawn before the first byte. Their tokens were lost then, as were those of a silent attempt that answered before it was replaced.

Tokens of attempts that were never written and of repetitions that were not needed return to the budget. The header X-Limit was sent already; a test now guards it.

--- a/home/dispatch.go
+++ b/home/dispatch.go
@@ -5,7 +5,6 @@
 
 	"medlaryard.example/medlaryard/invariant"
 	"medlaryard.example/medlaryard/lease"
-	"medlaryard.example/medlaryard/meter"
 	"medlaryard.example/medlaryard/refusal"
 	"medlaryard.example/medlaryard/searcher"
 )
@@ -80,9 +79,6 @@
 	g.queue.remove(t)
 	t.sated()
 	t.prepaid = false
-	if paid {
-		meter.Retried("home", t.retry)
-	}
 	g.send(t, m, now, paid)
 }
 
@@ -108,7 +104,7 @@
 	for _, c := range g.credits {
 		c.sent(m)
 	}
-	a := &attempt{t: t, m: m, sent: now, version: m.spec.Version(), first: t.sends == 0, paid: paid}
+	a := &attempt{t: t, m: m, sent: now, version: m.spec.Version(), first: t.sends == 0, paid: paid, hedge: len(t.running) > 0}
 	t.sends++
 	t.running = append(t.running, a)
 	if !t.hasTried(m) {
@@ -173,5 +169,6 @@
 			return refusal.New(refusal.NoSearcher, "version %s was stopped", c.to)
 		}
 	}
+	a.count()
 	return nil
 }
--- a/home/ended.go
+++ b/home/ended.go
@@ -18,6 +18,7 @@
 	a.m.inflight--
 	g.inflight--
 	a.t.drop(a)
+	g.returnTokens(a, f)
 	if f == nil {
 		g.answered(a, r, now)
 	} else {
@@ -27,6 +28,26 @@
 	g.settle()
 }
 
+// returnTokens gives back the token of an attempt that was never written, and
+// keeps that of a repetition for the task until it is sent or has ended.
+func (g *group) returnTokens(a *attempt, f *searcher.Failure) {
+	if a.paid && f != nil && unwritten(f) {
+		g.service.budget.refund()
+	}
+	switch {
+	case a.replaced && a.t.done:
+		g.service.budget.refund()
+	case a.replaced:
+		a.t.prepaid = true
+	}
+}
+
+// unwritten reports whether the attempt ended before its first byte was written
+// for a reason that lies with the home.
+func unwritten(f *searcher.Failure) bool {
+	return f.Fault() == searcher.FaultNone && f.Ran() == refusal.NotRun
+}
+
 // answered takes in a valid reply.
 func (g *group) answered(a *attempt, r searcher.Reply, now time.Duration) {
 	m, took := a.m, now-a.sent
@@ -61,12 +82,12 @@
 		return
 	}
 	if a.replaced {
-		t.prepaid, t.retry = true, refusal.SearcherFailed
+		t.retry = refusal.SearcherFailed
 		g.requeue(t, f.Error)
 		return
 	}
-	if fault == searcher.FaultNone && f.Ran() == refusal.NotRun {
-		g.unsent(a, f)
+	if unwritten(f) {
+		g.unsent(t, f)
 		return
 	}
 	if !g.mayRetry(t, f) {
@@ -79,12 +100,8 @@
 
 // unsent lets a task wait again whose attempt ended before the first byte was
 // written, because it does not count as sent.
-func (g *group) unsent(a *attempt, f *searcher.Failure) {
-	t := a.t
+func (g *group) unsent(t *task, f *searcher.Failure) {
 	t.sends--
-	if a.paid {
-		g.service.budget.refund()
-	}
 	switch f.Kind() {
 	case refusal.NotHome, refusal.Deadline, refusal.Cancelled:
 		g.refuse(t, f.Error)
--- a/home/hedge.go
+++ b/home/hedge.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"medlaryard.example/medlaryard/catalogue"
-	"medlaryard.example/medlaryard/meter"
 )
 
 // unknownHedgePart is the part of the remaining time after which a request is
@@ -59,6 +58,5 @@
 	}
 	g.queue.remove(t)
 	t.hedging = false
-	meter.Count("home.hedge.sent", 1)
 	g.send(t, m, now, true)
 }
--- a/home/result.go
+++ b/home/result.go
@@ -74,6 +74,10 @@
 		t.hedge.Stop()
 	}
 	t.sated()
+	if t.prepaid {
+		t.prepaid = false
+		g.service.budget.refund()
+	}
 	for _, a := range t.running {
 		meter.Count("home.cancelled", 1)
 		a.cancel()
--- a/searcher/http_test.go
+++ b/searcher/http_test.go
@@ -101,6 +101,25 @@
 	}
 }
 
+// Guards against searchers that gather more hits than the caller wants, because
+// the limit of the request does not reach them.
+func TestLimitIsSent(t *testing.T) {
+	for limit, want := range map[int]string{0: "", 25: "25"} {
+		got := make(chan string, 1)
+		_, h := newServer(t, func(w http.ResponseWriter, r *http.Request) {
+			got <- r.Header.Get("X-Limit")
+			serve(func(map[string]any) {})(w, r)
+		})
+		out, _ := start(h, CallSpec{Limit: limit})
+		if o := <-out; o.failure != nil {
+			t.Fatalf("limit %d: %v", limit, o.failure)
+		}
+		if s := <-got; s != want {
+			t.Errorf("limit %d: header X-Limit is %q", limit, s)
+		}
+	}
+}
+
 // hijack writes raw bytes and closes the connection.
 func hijack(raw string) http.HandlerFunc {
 	return func(w http.ResponseWriter, _ *http.Request) {
