--- a/home/ended.go
+++ b/home/ended.go
@@ -18,6 +18,7 @@
 	a.m.inflight--
 	g.inflight--
 	a.t.drop(a)
+	g.returnTokens(a, f)
 	if f == nil {
 		g.answered(a, r, now)
 	} else {
@@ -27,6 +28,26 @@
 	g.settle()
 }
 
+// returnTokens gives back the token of an attempt that was never written, and
+// keeps that of a repetition for the task until it is sent or has ended.
+func (g *group) returnTokens(a *attempt, f *searcher.Failure) {
+	if a.paid && f != nil && unwritten(f) {
+		g.service.budget.refund()
+	}
+	switch {
+	case a.replaced && a.t.done:
+		g.service.budget.refund()
+	case a.replaced:
+		a.t.prepaid = true
+	}
+}
+
+// unwritten reports whether the attempt ended before its first byte was written
+// for a reason that lies with the home.
+func unwritten(f *searcher.Failure) bool {
+	return f.Fault() == searcher.FaultNone && f.Ran() == refusal.NotRun
+}
+
 // answered takes in a valid reply.
 func (g *group) answered(a *attempt, r searcher.Reply, now time.Duration) {
 	m, took := a.m, now-a.sent
@@ -34,6 +55,7 @@
 		a.version = r.Version()
 	}
 	m.failures, m.lastReply = 0, now
+	m.errors.observe(now, 0)
 	g.service.ledger.answered(a.version, a.t.req.Route(), took)
 	g.observe(a, took, now)
 	if !a.t.done {
@@ -55,13 +77,17 @@
 		return
 	}
 	t.hedging, t.silent = false, nil
+	if t.crashed {
+		g.refuse(t, f.Error)
+		return
+	}
 	if a.replaced {
-		t.prepaid, t.retry = true, refusal.SearcherFailed
+		t.retry = refusal.SearcherFailed
 		g.requeue(t, f.Error)
 		return
 	}
-	if fault == searcher.FaultNone && f.Ran() == refusal.NotRun {
-		g.unsent(a, f)
+	if unwritten(f) {
+		g.unsent(t, f)
 		return
 	}
 	if !g.mayRetry(t, f) {
@@ -74,12 +100,8 @@
 
 // unsent lets a task wait again whose attempt ended before the first byte was
 // written, because it does not count as sent.
-func (g *group) unsent(a *attempt, f *searcher.Failure) {
-	t := a.t
+func (g *group) unsent(t *task, f *searcher.Failure) {
 	t.sends--
-	if a.paid {
-		g.service.budget.refund()
-	}
 	switch f.Kind() {
 	case refusal.NotHome, refusal.Deadline, refusal.Cancelled:
 		g.refuse(t, f.Error)
@@ -91,6 +113,7 @@
 // requeue lets a task wait to be sent again, or refuses it with e when too many
 // such tasks wait.
 func (g *group) requeue(t *task, e *refusal.Error) {
+	t.cause = e
 	if t.in == nil && !g.queue.repeat(t, g.queueBound()) {
 		g.refuse(t, e)
 	}
@@ -123,6 +146,10 @@
 		}
 	}
 	switch f.Fault() {
+	case searcher.FaultReply, searcher.FaultStatus, searcher.FaultBroken:
+		if f.Kind() != refusal.Cancelled {
+			m.errors.observe(now, 1)
+		}
 	case searcher.FaultShed, searcher.FaultCold:
 		m.warmth.refuse(now)
 		t.warmOnly = true
--- a/home/fake_test.go
+++ b/home/fake_test.go
@@ -38,6 +38,8 @@
 	dead       bool
 	poison     string // A request of this route crashes it.
 	wrongLabel bool
+	errors     float64 // Part of the requests that it answers with an error.
+	states     string  // Version that it states; empty is the listed one.
 	boot       int
 	snapshots  []uint64
 
@@ -97,7 +99,7 @@
 			labels = append(labels, f.label(s))
 		}
 		done(searcher.NewHealth(searcher.HealthSpec{
-			State: state, Version: f.spec.Version(), Boot: string(rune('a' + f.boot)), Labels: labels,
+			State: state, Version: f.version(), Boot: string(rune('a' + f.boot)), Labels: labels,
 		}), nil)
 	})
 }
@@ -199,6 +201,13 @@
 	f.c.AfterFunc(f.serviceTime(), x.complete)
 }
 
+func (f *fake) version() string {
+	if f.states != "" {
+		return f.states
+	}
+	return f.spec.Version()
+}
+
 func (f *fake) holds(snapshot uint64) bool {
 	for _, s := range f.snapshots {
 		if snapshot == 0 || s == snapshot {
@@ -221,12 +230,16 @@
 		x.later(searcher.FaultReply, refusal.BadReply, refusal.Unknown)
 		return
 	}
+	if x.f.errors > 0 && x.f.r.Float64() < x.f.errors {
+		x.later(searcher.FaultStatus, refusal.SearcherFailed, refusal.Unknown)
+		return
+	}
 	snapshot := x.call.Snapshot()
 	if snapshot == 0 {
 		snapshot = x.f.snapshots[0]
 	}
 	x.f.c.AfterFunc(x.f.hop, func() {
-		x.end(searcher.NewReply(searcher.ReplySpec{Version: x.f.spec.Version(), Label: x.f.label(snapshot)}), nil)
+		x.end(searcher.NewReply(searcher.ReplySpec{Version: x.f.version(), Label: x.f.label(snapshot)}), nil)
 	})
 }
 
--- a/home/hedge.go
+++ b/home/hedge.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"medlaryard.example/medlaryard/catalogue"
-	"medlaryard.example/medlaryard/meter"
 )
 
 // unknownHedgePart is the part of the remaining time after which a request is
@@ -32,7 +31,7 @@
 	})
 }
 
-// hedgeSlack is the highest ratio of a searcher's latency to the group's median
+// hedgeSlack is the highest ratio of a searcher's expected latency to the group's median
 // at which a hedge to it is likely to win.
 const hedgeSlack = 2
 
@@ -52,13 +51,12 @@
 	}
 	m := g.best(t, now, func(m *member) bool {
 		return m.warmth.warm && !t.hasTried(m) && g.room(m, now) > m.virtual &&
-			m.estimate.read(now, g.median) <= hedgeSlack*g.median
+			m.expected(now, g.median) <= hedgeSlack*g.median
 	})
 	if m == nil || !g.service.budget.take(reserve) {
 		return
 	}
 	g.queue.remove(t)
 	t.hedging = false
-	meter.Count("home.hedge.sent", 1)
 	g.send(t, m, now, true)
 }
--- a/home/member.go
+++ b/home/member.go
@@ -21,6 +21,7 @@
 	virtual    int // Queued requests that the present dispatch round expects here.
 	estimate   estimate
 	usual      usual
+	errors     errorRate
 	warmth     warmth
 	labels     []shard.Label
 	claimed    searcher.State // Empty before the first health answer.
@@ -33,6 +34,7 @@
 	removed    bool
 	failures   int // Failed health requests in a row.
 	lastReply  time.Duration
+	lastSend   time.Duration
 	poll       clock.Timer
 	polling    bool
 }
@@ -104,7 +106,7 @@
 func (m *member) renew() {
 	limit := m.warmth.coldLimit
 	m.warmth = newWarmth(limit)
-	m.usual = usual{}
+	m.usual, m.errors = usual{}, errorRate{}
 }
 
 // knowledge is what the home passes on to the next one.
--- a/home/pick.go
+++ b/home/pick.go
@@ -28,37 +28,27 @@
 	if !m.usable() || !m.holds(t.req.Snapshot()) || (t.warmOnly && !m.warmth.warm) {
 		return false
 	}
-	c := g.credit(m)
-	return c == nil || c.allowed()
-}
-
-// credit returns the credit that a send to the searcher needs; nil for none.
-func (g *group) credit(m *member) *credit {
-	for _, c := range g.credits {
-		if c.covers(m) {
-			return c
-		}
-	}
-	return nil
+	return g.permitted(t, m)
 }
 
 // pick returns the searcher for the task's next send, or nil when the task has
 // to wait for a better one than is free now.
 func (g *group) pick(t *task, now time.Duration) *member {
-	if m := g.best(t, now, g.due); m != nil {
+	if m := g.best(t, now, func(m *member) bool { return g.due(m, now) }); m != nil {
 		return m
 	}
-	if m := g.best(t, now, func(m *member) bool { return !t.hasTried(m) }); m != nil {
+	m := g.best(t, now, func(m *member) bool { return !t.hasTried(m) })
+	if m == nil {
+		m = g.best(t, now, func(*member) bool { return true })
+	}
+	if m == nil || m.warmth.warm || !g.moving(m) || m.virtual < g.room(m, now) {
 		return m
 	}
-	return g.best(t, now, func(*member) bool { return true })
-}
-
-// due reports whether the searcher runs a new version whose share is due, and
-// has room for it.
-func (g *group) due(m *member) bool {
-	c := g.credit(m)
-	return c != nil && m.inflight+m.virtual < m.limit(g.share)
+	// No request waits for a cold searcher of a new version while a warm one has room.
+	if w := g.best(t, now, func(m *member) bool { return m.warmth.warm && m.virtual < g.room(m, now) }); w != nil {
+		return w
+	}
+	return m
 }
 
 // best returns the searcher with the lowest cost among those that fit and are
@@ -87,7 +77,7 @@
 	if g.policy == catalogue.Baseline {
 		return wait
 	}
-	return (max(1, wait) + loadWeight*n/float64(m.slots())) * m.estimate.read(now, g.median)
+	return (max(1, wait) + loadWeight*n/float64(m.slots())) * m.expected(now, g.median)
 }
 
 // hopeless returns the reason why waiting cannot help the task; nil when a
@@ -106,7 +96,7 @@
 			continue
 		}
 		holding = true
-		if c := g.credit(m); c != nil && !c.allowed() {
+		if !g.permitted(t, m) {
 			continue
 		}
 		permitted = true
--- a/home/result.go
+++ b/home/result.go
@@ -73,6 +73,11 @@
 	if t.hedge != nil {
 		t.hedge.Stop()
 	}
+	t.sated()
+	if t.prepaid {
+		t.prepaid = false
+		g.service.budget.refund()
+	}
 	for _, a := range t.running {
 		meter.Count("home.cancelled", 1)
 		a.cancel()
