home: probe slow cold searchers every two seconds; drain before a release

TestReleaseAndAdopt sent its request while the load before it was in flight; with another order of sends the request waited in the queue, so that it had not been written as the test supposes. The test now lets the load end first and checks that nothing waits, which is stricter.

--- a/home/moving.go
+++ b/home/moving.go
@@ -7,9 +7,9 @@
 
 // slowProbe is the time between two sends for the sake of the share to a cold
 // searcher that is slow. Up to the cold limit the share kept such a searcher
-// busy all the time, and with a fan-out of 10 most queries met one. Once a
-// second is little enough for the budget of hedges to cover all of them.
-const slowProbe = time.Second
+// busy all the time, and with a fan-out of 10 most queries met one. Once in
+// two seconds is little enough for the budget of hedges to cover them.
+const slowProbe = 2 * time.Second
 
 // permitted reports whether the moves let the next send of the task go to the
 // searcher. A searcher may need the credit of several moves, because the
--- a/home/rules_test.go
+++ b/home/rules_test.go
@@ -166,10 +166,14 @@
 func TestReleaseAndAdopt(t *testing.T) {
 	y := newRules(nil)
 	y.load(0.3, 5*time.Second)
+	y.c.run(time.Second) // Nothing of the load is left that the request could wait for.
 	id := y.group(0)
 	answered := false
 	y.send(0, shard.RequestSpec{Idempotent: true}, func(r shard.Result) { answered = r.Kind() == refusal.None })
 	y.c.run(time.Millisecond) // It has been written to the searcher.
+	if n := y.sets[0].Status()[0].Queued(); n != 0 {
+		t.Fatalf("%d requests wait, none has been written", n)
+	}
 	over, cancel := context.WithCancel(context.Background())
 	cancel()
 	if r := y.sets[0].Release(over, []string{id, "svc/unknown/0"}); len(r) != 1 || r[0].Group() != "svc/unknown/0" {
