daemon, home, entry, once: standard names for test fixtures and two types

Cause: read as a newcomer, yard, herald and Desk need explaining. Change: fixture, strikeBroadcast and Responder; no behaviour changes.

--- a/daemon/addressbook_test.go
+++ b/daemon/addressbook_test.go
@@ -58,7 +58,7 @@
 // Guards against a daemon that gives out itself while its domain is out of
 // service, and against one that stays away after the domain returns.
 func TestWithdrawnDaemonLeavesAddresses(t *testing.T) {
-	y := newYard(t, 2)
+	y := newFixture(t, 2)
 	y.startIn(2, "domain-b")
 	y.ready()
 	listed := func(n int) func() bool {
--- a/daemon/condition_test.go
+++ b/daemon/condition_test.go
@@ -61,7 +61,7 @@
 
 // Guards against conditions that no daemon observes.
 func TestDaemonCountsIsolation(t *testing.T) {
-	y := newYard(t, 1)
+	y := newFixture(t, 1)
 	y.ready()
 	began, ended := meter.Value("daemon.isolation.began"), meter.Value("daemon.isolation.ended")
 	y.store.SetFaults(objects.Faults{Outage: true})
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -34,17 +34,17 @@
 	incarnation string
 	started     time.Time
 
-	store    *store.Counted
-	vms      *vmlist.Reader
-	client   *peer.Client
-	cell     *cell.Cell
-	homes    *home.Set
-	suspects *admission.Suspects
-	trial    *admission.Trial
-	guard    *once.Guard
-	desk     *once.Desk
-	entry    *entry.Entry
-	moves    *moves
+	store     *store.Counted
+	vms       *vmlist.Reader
+	client    *peer.Client
+	cell      *cell.Cell
+	homes     *home.Set
+	suspects  *admission.Suspects
+	trial     *admission.Trial
+	guard     *once.Guard
+	responder *once.Responder
+	entry     *entry.Entry
+	moves     *moves
 
 	callers   *entry.Server
 	peers     *server
@@ -54,7 +54,7 @@
 	viewMu  sync.Mutex // Serialises changes of view.
 	view    atomic.Pointer[view]
 	changed chan struct{}
-	strikes *herald
+	strikes *strikeBroadcast
 	source  shareSource
 	shares  shareLog
 	leaving atomic.Bool
@@ -91,7 +91,7 @@
 		peer.WithMaxMessage(int64(cfg.PeerMessageBytes())),
 	}
 	d.client = peer.NewClient(peerOptions...)
-	d.strikes = newHerald(d.client, d.others)
+	d.strikes = newStrikeBroadcast(d.client, d.others)
 	d.suspects = admission.NewSuspects(d.clk, d.strikes.tell)
 	d.homes = home.NewSet(
 		home.WithLeaseEnd(func() time.Duration { return d.cell.LeaseEnd() }),
@@ -153,7 +153,7 @@
 		entry.WithKeep(d.cfg.AddressTTL()),
 	)
 	d.guard = once.NewGuard(relayed, d.trial.Do)
-	d.desk = once.NewDesk(d.incarnation, d.entry.Now, own, relayed)
+	d.responder = once.NewResponder(d.incarnation, d.entry.Now, own, relayed)
 }
 
 // start begins all work. Callers are served last.
--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -13,7 +13,7 @@
 // non-idempotent request must pass from any daemon through the homes to the
 // searchers, and operators must see it.
 func TestWholePath(t *testing.T) {
-	y := newYard(t, 3)
+	y := newFixture(t, 3)
 	y.ready()
 	first := y.members[0]
 	want, err := query(first.callers, "la")
@@ -50,7 +50,7 @@
 }
 
 // runOnce sends one request to its incarnation and resends it to all daemons.
-func (y *yard) runOnce() {
+func (y *fixture) runOnce() {
 	y.t.Helper()
 	list, err := call(http.MethodGet, "http://"+y.members[0].callers+"/v1/addresses", nil)
 	if err != nil || len(list.Addresses) != 3 {
@@ -74,7 +74,7 @@
 // Guards against a graceful shutdown that cuts off or refuses a request of
 // callers who keep addresses no longer than they may.
 func TestGracefulShutdownLosesNoQuery(t *testing.T) {
-	y := newYard(t, 3)
+	y := newFixture(t, 3)
 	y.ready()
 	var c callers
 	stop := make(chan struct{})
--- a/daemon/yard_test.go
+++ b/daemon/fixture_test.go
@@ -29,8 +29,8 @@
 // about the time itself.
 const patience = 30 * time.Second
 
-// yard is a store, searchers and daemons in one process, on loopback.
-type yard struct {
+// fixture is a store, searchers and daemons in one process, on loopback.
+type fixture struct {
 	t       *testing.T
 	store   *objects.Store
 	address string // Of the store.
@@ -47,8 +47,8 @@
 	done               chan error
 }
 
-func newYard(t *testing.T, daemons int) *yard {
-	y := &yard{t: t, store: objects.New()}
+func newFixture(t *testing.T, daemons int) *fixture {
+	y := &fixture{t: t, store: objects.New()}
 	server := httptest.NewServer(objects.NewHandler(y.store))
 	t.Cleanup(server.Close)
 	y.address = strings.TrimPrefix(server.URL, "http://")
@@ -103,16 +103,16 @@
 }
 
 // apply puts a catalogue in force.
-func (y *yard) apply(based uint64, text string) {
+func (y *fixture) apply(based uint64, text string) {
 	y.t.Helper()
 	if _, err := publish.New(y.store).Apply(context.Background(), []byte(text), "test", based); err != nil {
 		y.t.Fatal(err)
 	}
 }
 
-func (y *yard) start(i int) { y.startIn(i, "domain-a") }
+func (y *fixture) start(i int) { y.startIn(i, "domain-a") }
 
-func (y *yard) startIn(i int, domain string) {
+func (y *fixture) startIn(i int, domain string) {
 	spec := y.spec(i, domain)
 	ctx, cancel := context.WithCancel(context.Background())
 	m := &member{callers: spec.CallerListen, operators: spec.OperatorListen, stop: cancel, done: make(chan error, 1)}
@@ -125,7 +125,7 @@
 }
 
 // spec returns the settings of a daemon.
-func (y *yard) spec(i int, domain string) settings.Spec {
+func (y *fixture) spec(i int, domain string) settings.Spec {
 	free := freeAddresses(y.t, 3)
 	spec := settings.Default()
 	spec.Name, spec.Region, spec.Domain = fmt.Sprint("vm-", i), "local", domain
@@ -197,7 +197,7 @@
 const warmUp = 60
 
 // ready waits until every daemon knows all others and the searchers are warm.
-func (y *yard) ready() {
+func (y *fixture) ready() {
 	y.t.Helper()
 	for _, m := range y.members {
 		y.until("complete membership", func() bool {
@@ -225,7 +225,7 @@
 	})
 }
 
-func (y *yard) until(what string, ok func() bool) {
+func (y *fixture) until(what string, ok func() bool) {
 	y.t.Helper()
 	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
 		if ok() {
--- a/daemon/handlers.go
+++ b/daemon/handlers.go
@@ -17,7 +17,7 @@
 		Release:   d.cell.HandleRelease,
 		Report:    d.moves.serveReport,
 		Outcome: func(_ context.Context, in *peerpb.OutcomeRequest) (*peerpb.OutcomeReply, error) {
-			return d.desk.Outcome(in)
+			return d.responder.Outcome(in)
 		},
 		Strike: func(_ context.Context, in *peerpb.StrikeRequest) (*peerpb.StrikeReply, error) {
 			d.suspects.Merge(in.Strikes)
--- a/daemon/listed_test.go
+++ b/daemon/listed_test.go
@@ -54,7 +54,7 @@
 // Guards against a VM list that is polled and not used. Of two members one is
 // lost, so no majority can bar it; only the list proves that it is gone.
 func TestDroppedVMReleasesHomes(t *testing.T) {
-	y := newYard(t, 0)
+	y := newFixture(t, 0)
 	list := vms.NewServer(clock.System{}, vms.VM{Name: "vm-0"}, vms.VM{Name: "vm-1"})
 	server := httptest.NewServer(list)
 	t.Cleanup(server.Close)
--- a/daemon/herald.go
+++ b/daemon/strikebroadcast.go
@@ -25,19 +25,19 @@
 	repeatStrikes = 256
 )
 
-// herald tells the other daemons of the cell about crashes.
-type herald struct {
+// strikeBroadcast tells the other daemons of the cell about crashes.
+type strikeBroadcast struct {
 	client *peer.Client
 	others func() []entry.Home
 	queue  chan []*peerpb.CrashStrike
 }
 
-func newHerald(client *peer.Client, others func() []entry.Home) *herald {
-	return &herald{client: client, others: others, queue: make(chan []*peerpb.CrashStrike, strikeQueue)}
+func newStrikeBroadcast(client *peer.Client, others func() []entry.Home) *strikeBroadcast {
+	return &strikeBroadcast{client: client, others: others, queue: make(chan []*peerpb.CrashStrike, strikeQueue)}
 }
 
 // tell queues strikes. It never blocks; what does not fit is repeated later.
-func (h *herald) tell(strikes []*peerpb.CrashStrike) {
+func (h *strikeBroadcast) tell(strikes []*peerpb.CrashStrike) {
 	select {
 	case h.queue <- strikes:
 	default:
@@ -45,7 +45,7 @@
 	}
 }
 
-func (h *herald) run(ctx context.Context, clk clock.Clock, s *admission.Suspects) {
+func (h *strikeBroadcast) run(ctx context.Context, clk clock.Clock, s *admission.Suspects) {
 	t := clk.NewTimer(repeatInterval)
 	defer t.Stop()
 	for {
@@ -64,7 +64,7 @@
 }
 
 // send calls all daemons at once and waits for them.
-func (h *herald) send(ctx context.Context, strikes []*peerpb.CrashStrike) {
+func (h *strikeBroadcast) send(ctx context.Context, strikes []*peerpb.CrashStrike) {
 	ctx, cancel := context.WithTimeout(ctx, strikeTimeout)
 	defer cancel()
 	var wg sync.WaitGroup
--- a/entry/yard_test.go
+++ b/entry/fixture_test.go
@@ -16,8 +16,8 @@
 	"medlaryard.example/medlaryard/shard"
 )
 
-// yard is three daemons and one searcher that counts the runs of each request.
-type yard struct {
+// fixture is three daemons and one searcher that counts the runs of each request.
+type fixture struct {
 	t      *testing.T
 	clk    bubble
 	estate catalogue.Estate
@@ -31,17 +31,17 @@
 
 // node is one daemon incarnation.
 type node struct {
-	y      *yard
+	y      *fixture
 	home   Home
 	e      *Entry
-	desk   *once.Desk
+	desk   *once.Responder
 	guard  *once.Guard
 	dead   bool
 	paused time.Duration // Boot time until which the process stands still.
 }
 
-func newYard(t *testing.T, seed uint64) *yard {
-	y := &yard{
+func newFixture(t *testing.T, seed uint64) *fixture {
+	y := &fixture{
 		t: t, clk: bubble{start: time.Now()}, rng: rand.New(rand.NewPCG(seed, 2)), runs: make(map[string]int),
 		estate: catalogue.NewEstate(catalogue.EstateSpec{Generation: 1, Services: []*catalogue.Service{
 			catalogue.NewService(catalogue.ServiceSpec{
@@ -60,7 +60,7 @@
 }
 
 // start replaces the daemon in a slot by a new incarnation.
-func (y *yard) start(i int) {
+func (y *fixture) start(i int) {
 	y.mu.Lock()
 	defer y.mu.Unlock()
 	if y.slots[i] != nil {
@@ -81,11 +81,11 @@
 		Outcome: n.outcome,
 		Member:  y.member,
 	}, WithClock(y.clk), WithOnce(own, n.home.Incarnation()))
-	n.desk = once.NewDesk(n.home.Incarnation(), n.e.Now, own, relayed)
+	n.desk = once.NewResponder(n.home.Incarnation(), n.e.Now, own, relayed)
 	y.slots[i] = n
 }
 
-func (y *yard) random(n int) int {
+func (y *fixture) random(n int) int {
 	y.mu.Lock()
 	defer y.mu.Unlock()
 	return y.rng.IntN(n)
@@ -102,7 +102,7 @@
 	return list
 }
 
-func (y *yard) member(incarnation string) (Home, bool) {
+func (y *fixture) member(incarnation string) (Home, bool) {
 	y.mu.Lock()
 	defer y.mu.Unlock()
 	for _, d := range y.slots {
--- a/entry/once_random_test.go
+++ b/entry/once_random_test.go
@@ -25,7 +25,7 @@
 	sum := make(map[string]int)
 	for seed := range uint64(seeds) {
 		synctest.Test(t, func(t *testing.T) {
-			y := newYard(t, seed)
+			y := newFixture(t, seed)
 			stop := make(chan struct{})
 			go y.disturb(stop)
 			for what, n := range y.callers(onceRequests / seeds) {
@@ -44,7 +44,7 @@
 }
 
 // disturb kills and pauses daemons.
-func (y *yard) disturb(stop chan struct{}) {
+func (y *fixture) disturb(stop chan struct{}) {
 	for {
 		select {
 		case <-stop:
@@ -69,7 +69,7 @@
 	outcomes []once.Outcome
 }
 
-func (y *yard) callers(n int) map[string]int {
+func (y *fixture) callers(n int) map[string]int {
 	heard := make([]*told, n)
 	var wg sync.WaitGroup
 	for i := range n {
@@ -87,7 +87,7 @@
 }
 
 // call sends a request and resends it with the same ticket.
-func (y *yard) call(id string, to *told) {
+func (y *fixture) call(id string, to *told) {
 	y.mu.Lock()
 	first := y.slots[y.rng.IntN(len(y.slots))]
 	y.mu.Unlock()
@@ -130,7 +130,7 @@
 	wg.Wait()
 }
 
-func (y *yard) verdict(id string, to *told) string {
+func (y *fixture) verdict(id string, to *told) string {
 	y.mu.Lock()
 	runs := y.runs[id]
 	y.mu.Unlock()
--- a/home/bench_test.go
+++ b/home/bench_test.go
@@ -19,7 +19,7 @@
 func BenchmarkPick(b *testing.B) {
 	for _, n := range benchSizes {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
-			y := newYard(yardSpec{seed: 1, shards: 1, replicas: n, slots: 2, daemons: 1, policy: catalogue.Current})
+			y := newFixture(fixtureSpec{seed: 1, shards: 1, replicas: n, slots: 2, daemons: 1, policy: catalogue.Current})
 			y.c.run(time.Second)
 			g := y.sets[0].group(y.group(0))
 			t := &task{req: shard.NewRequest(shard.RequestSpec{Idempotent: true, Snapshot: 1})}
@@ -37,7 +37,7 @@
 func BenchmarkQueue(b *testing.B) {
 	for _, n := range benchSizes {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
-			y := newYard(yardSpec{seed: 1, shards: 1, replicas: 2, slots: 2, daemons: 1, policy: catalogue.Current})
+			y := newFixture(fixtureSpec{seed: 1, shards: 1, replicas: 2, slots: 2, daemons: 1, policy: catalogue.Current})
 			y.c.run(time.Second)
 			for range 4 + 2*n {
 				y.send(0, shard.RequestSpec{Idempotent: true, Snapshot: 1}, func(shard.Result) {})
@@ -59,7 +59,7 @@
 func BenchmarkDo(b *testing.B) {
 	for _, n := range benchSizes {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
-			y := newYard(yardSpec{seed: 1, shards: 1, replicas: n, slots: 16, daemons: 1, policy: catalogue.Current})
+			y := newFixture(fixtureSpec{seed: 1, shards: 1, replicas: n, slots: 16, daemons: 1, policy: catalogue.Current})
 			s := NewSet(WithTargets(instantTarget))
 			defer s.Close()
 			s.Apply(NewAssignment(AssignmentSpec{Estate: y.estate(), Shares: map[string]lease.Share{y.group(0): lease.Full}}))
--- a/home/cold_test.go
+++ b/home/cold_test.go
@@ -10,8 +10,8 @@
 	"medlaryard.example/medlaryard/shard"
 )
 
-func newPair(seed uint64, prepare func(y *yard)) *yard {
-	y := newYard(yardSpec{seed: seed, shards: 1, replicas: 2, slots: 4, daemons: 1, policy: catalogue.Current})
+func newPair(seed uint64, prepare func(y *fixture)) *fixture {
+	y := newFixture(fixtureSpec{seed: seed, shards: 1, replicas: 2, slots: 4, daemons: 1, policy: catalogue.Current})
 	prepare(y)
 	y.c.run(time.Second)
 	return y
@@ -25,7 +25,7 @@
 // its health claims otherwise and every reply, slow as it is, counts as success.
 func TestColdSearcherThatClaimsReady(t *testing.T) {
 	for seed := range uint64(coldSeeds) {
-		y := newPair(seed, func(y *yard) {
+		y := newPair(seed, func(y *fixture) {
 			f := y.fakes["s00-0"]
 			f.cold, f.lying, f.coldSlow, f.sheds = true, true, 3, false
 		})
@@ -45,7 +45,7 @@
 // which neither its health nor a refusal shows.
 func TestSearcherTurnsColdWithoutWarning(t *testing.T) {
 	for seed := range uint64(coldSeeds) {
-		y := newPair(seed, func(*yard) {})
+		y := newPair(seed, func(*fixture) {})
 		y.load(0.3, 5*time.Second)
 		f := y.fakes["s00-0"]
 		f.cold, f.lying, f.coldSlow, f.sheds = true, true, 5, false
@@ -63,7 +63,7 @@
 // Guards against warm searchers that lose their slots because a pause of the VM
 // delays all replies that are on their way.
 func TestPausesAreNoColdStart(t *testing.T) {
-	y := newYard(yardSpec{seed: 8, shards: 4, replicas: 2, slots: 3, daemons: 1, policy: catalogue.Current})
+	y := newFixture(fixtureSpec{seed: 8, shards: 4, replicas: 2, slots: 3, daemons: 1, policy: catalogue.Current})
 	y.c.run(time.Second)
 	y.load(0.3, 5*time.Second)
 	for _, f := range y.fakes {
@@ -89,7 +89,7 @@
 // cold limit.
 func TestColdSearcherGetsNothingBelowFullShare(t *testing.T) {
 	for _, share := range []lease.Share{lease.Reserved, lease.Acting} {
-		y := newYard(yardSpec{seed: 3, shards: 1, replicas: 2, slots: 2, daemons: 1, policy: catalogue.Current})
+		y := newFixture(fixtureSpec{seed: 3, shards: 1, replicas: 2, slots: 2, daemons: 1, policy: catalogue.Current})
 		y.fakes["s00-0"].cold = true
 		y.share = share
 		y.apply()
@@ -111,7 +111,7 @@
 // Guards against a wave of refused requests that moves from one cold searcher
 // to the next.
 func TestRefusedWorkStaysOffColdSearchers(t *testing.T) {
-	y := newYard(yardSpec{seed: 4, shards: 1, replicas: 3, slots: 4, daemons: 1, policy: catalogue.Current})
+	y := newFixture(fixtureSpec{seed: 4, shards: 1, replicas: 3, slots: 4, daemons: 1, policy: catalogue.Current})
 	y.c.run(time.Second)
 	for _, name := range y.names {
 		// A cold limit of 0 at the searcher refuses everything.
--- a/home/failing_test.go
+++ b/home/failing_test.go
@@ -10,8 +10,8 @@
 	"medlaryard.example/medlaryard/shard"
 )
 
-func newFailing(seed uint64, errors ...float64) *yard {
-	y := newYard(yardSpec{seed: seed, shards: 4, replicas: 2, slots: 2, daemons: 1, policy: catalogue.Current})
+func newFailing(seed uint64, errors ...float64) *fixture {
+	y := newFixture(fixtureSpec{seed: seed, shards: 4, replicas: 2, slots: 2, daemons: 1, policy: catalogue.Current})
 	y.c.run(time.Second)
 	y.load(0.3, 10*time.Second)
 	y.latency, y.kinds = nil, make(map[refusal.Kind]int)
--- a/home/fake_test.go
+++ b/home/fake_test.go
@@ -48,7 +48,7 @@
 	tooMuch  int // Requests that arrived in a cold start above the cold limit.
 	lateWork int // Requests 3 s after the start of a drain or later, which its health admits.
 	drainAt  time.Duration
-	runs     map[string]int // Starts by request, shared by all fakes of a yard.
+	runs     map[string]int // Starts by request, shared by all fakes of a fixture.
 	calls    map[*fakeCall]struct{}
 }
 
--- a/home/yard_test.go
+++ b/home/fixture_test.go
@@ -19,8 +19,8 @@
 	m.Run()
 }
 
-// yardSpec describes a service on fakes.
-type yardSpec struct {
+// fixtureSpec describes a service on fakes.
+type fixtureSpec struct {
 	seed     uint64
 	shards   int
 	replicas int
@@ -31,10 +31,10 @@
 	moves    []*catalogue.Move
 }
 
-// yard is a sharded service on fakes, with its groups spread over several Sets,
+// fixture is a sharded service on fakes, with its groups spread over several Sets,
 // and an open-loop load.
-type yard struct {
-	yardSpec
+type fixture struct {
+	fixtureSpec
 	c       *simClock
 	r       *rand.Rand
 	sets    []*Set
@@ -53,9 +53,9 @@
 	kinds   map[refusal.Kind]int
 }
 
-func newYard(spec yardSpec) *yard {
-	y := &yard{
-		yardSpec: spec, c: newSimClock(), r: rand.New(rand.NewPCG(spec.seed, 1)), fakes: make(map[string]*fake),
+func newFixture(spec fixtureSpec) *fixture {
+	y := &fixture{
+		fixtureSpec: spec, c: newSimClock(), r: rand.New(rand.NewPCG(spec.seed, 1)), fakes: make(map[string]*fake),
 		out: make(map[string]bool), share: lease.Full, kinds: make(map[refusal.Kind]int), runs: make(map[string]int),
 		crashes: make(chan uint64, 1000), lease: forever,
 	}
@@ -89,7 +89,7 @@
 }
 
 // near returns the failure domain in which the home of a searcher's group runs.
-func (y *yard) near(s *catalogue.Searcher) string {
+func (y *fixture) near(s *catalogue.Searcher) string {
 	var i int
 	if _, err := fmt.Sscanf(s.Name(), "s%02d", &i); err != nil {
 		panic(err)
@@ -97,7 +97,7 @@
 	return fmt.Sprintf("d%d", i%y.replicas)
 }
 
-func (y *yard) estate() catalogue.Estate {
+func (y *fixture) estate() catalogue.Estate {
 	var shards []*catalogue.Shard
 	for i := range y.shards {
 		var searchers []*catalogue.Searcher
@@ -132,7 +132,7 @@
 }
 
 // apply gives each group to one of the Sets in turn.
-func (y *yard) apply() {
+func (y *fixture) apply() {
 	for n, set := range y.sets {
 		shares := make(map[string]lease.Share)
 		for i := range y.shards {
@@ -144,10 +144,10 @@
 	}
 }
 
-func (y *yard) group(i int) string { return fmt.Sprintf("svc/%02d/0", i) }
+func (y *fixture) group(i int) string { return fmt.Sprintf("svc/%02d/0", i) }
 
 // send starts one sub-request to a shard.
-func (y *yard) send(i int, spec shard.RequestSpec, reply func(shard.Result)) (*group, *task) {
+func (y *fixture) send(i int, spec shard.RequestSpec, reply func(shard.Result)) (*group, *task) {
 	spec.Service, spec.Group, spec.Shard = "svc", y.group(i), fmt.Sprintf("%02d", i)
 	if spec.Deadline == 0 {
 		spec.Deadline = y.c.now + time.Second
@@ -162,7 +162,7 @@
 }
 
 // query fans out to all shards and records the latency of a complete answer.
-func (y *yard) query() {
+func (y *fixture) query() {
 	start, left, complete := y.c.now, y.shards, true
 	for i := range y.shards {
 		y.send(i, shard.RequestSpec{ID: "q", Idempotent: true, Snapshot: 1}, func(r shard.Result) {
@@ -180,7 +180,7 @@
 }
 
 // load sends queries at a rate for d and then lets them end.
-func (y *yard) load(share float64, d time.Duration) {
+func (y *fixture) load(share float64, d time.Duration) {
 	rate := share * float64(y.replicas*y.slots) / 0.010
 	end := y.c.now + d
 	var arrive func()
@@ -196,13 +196,13 @@
 }
 
 // take returns the latencies of complete answers since the last call.
-func (y *yard) take() []time.Duration {
+func (y *fixture) take() []time.Duration {
 	all := y.latency
 	y.latency = nil
 	return all
 }
 
-func (y *yard) counts() (subs, extra int64) {
+func (y *fixture) counts() (subs, extra int64) {
 	for _, s := range y.sets {
 		for _, v := range s.serviceList() {
 			a, b := v.budget.counts()
--- a/home/lapse_test.go
+++ b/home/lapse_test.go
@@ -33,7 +33,7 @@
 	for seed := range uint64(3) {
 		first := catalogue.NewMove(catalogue.MoveSpec{EntrySpec: catalogue.EntrySpec{Name: "m"}, From: "v1", To: "v2"})
 		next := catalogue.NewMove(catalogue.MoveSpec{EntrySpec: catalogue.EntrySpec{Name: "n"}, From: "v2", To: "v3"})
-		y := newYard(yardSpec{
+		y := newFixture(fixtureSpec{
 			seed: seed, shards: 1, replicas: 2, slots: 2, daemons: 1, policy: catalogue.Current,
 			versions: []string{"v2", "v2"}, moves: []*catalogue.Move{first, next},
 		})
--- a/home/move_test.go
+++ b/home/move_test.go
@@ -9,9 +9,9 @@
 	"medlaryard.example/medlaryard/shard"
 )
 
-func newMoving(seed uint64, shards int) *yard {
+func newMoving(seed uint64, shards int) *fixture {
 	move := catalogue.NewMove(catalogue.MoveSpec{EntrySpec: catalogue.EntrySpec{Name: "m"}, From: "v1", To: "v2"})
-	y := newYard(yardSpec{
+	y := newFixture(fixtureSpec{
 		seed: seed, shards: shards, replicas: 4, slots: 2, daemons: 1, policy: catalogue.Current,
 		versions: []string{"v1", "v1", "v2", "v2"}, moves: []*catalogue.Move{move},
 	})
@@ -20,7 +20,7 @@
 }
 
 // ranOn returns the number of requests that ran on searchers of the version.
-func (y *yard) ranOn(version string) int {
+func (y *fixture) ranOn(version string) int {
 	n := 0
 	for _, f := range y.fakes {
 		if f.spec.Version() == version {
--- a/home/rules_test.go
+++ b/home/rules_test.go
@@ -11,8 +11,8 @@
 	"medlaryard.example/medlaryard/shard"
 )
 
-func newRules(versions []string, moves ...*catalogue.Move) *yard {
-	y := newYard(yardSpec{
+func newRules(versions []string, moves ...*catalogue.Move) *fixture {
+	y := newFixture(fixtureSpec{
 		seed: 7, shards: 1, replicas: 2, slots: 2, daemons: 1, policy: catalogue.Current, versions: versions, moves: moves,
 	})
 	y.c.run(time.Second)
@@ -20,7 +20,7 @@
 }
 
 // one sends a request and returns its result.
-func (y *yard) one(spec shard.RequestSpec) shard.Result {
+func (y *fixture) one(spec shard.RequestSpec) shard.Result {
 	var result shard.Result
 	y.send(0, spec, func(r shard.Result) { result = r })
 	y.c.run(2 * time.Second)
--- a/home/silent_test.go
+++ b/home/silent_test.go
@@ -11,7 +11,7 @@
 // Guards against answers that are lost because all established connections of a
 // group went silent while new ones work.
 func TestSilentConnectionsAreReplaced(t *testing.T) {
-	y := newYard(yardSpec{seed: 5, shards: 4, replicas: 2, slots: 2, daemons: 1, policy: catalogue.Current})
+	y := newFixture(fixtureSpec{seed: 5, shards: 4, replicas: 2, slots: 2, daemons: 1, policy: catalogue.Current})
 	y.c.run(time.Second)
 	y.load(0.3, 5*time.Second)
 	y.fakes["s02-0"].stale, y.fakes["s02-1"].stale = true, true
@@ -29,7 +29,7 @@
 
 // Guards against requests that wait beyond their deadline for a silent shard.
 func TestSilentShardIsAnsweredOnTime(t *testing.T) {
-	y := newYard(yardSpec{seed: 6, shards: 4, replicas: 2, slots: 2, daemons: 1, policy: catalogue.Current})
+	y := newFixture(fixtureSpec{seed: 6, shards: 4, replicas: 2, slots: 2, daemons: 1, policy: catalogue.Current})
 	y.c.run(time.Second)
 	y.load(0.3, 5*time.Second)
 	y.fakes["s02-0"].silent, y.fakes["s02-1"].silent = true, true
--- a/home/storm_test.go
+++ b/home/storm_test.go
@@ -15,7 +15,7 @@
 // storm drives one Set with requests of all kinds while faults and changes come
 // in random order.
 type storm struct {
-	*yard
+	*fixture
 	t       *testing.T
 	sent    int
 	results int
@@ -27,7 +27,7 @@
 
 func newStorm(t *testing.T, seed uint64) *storm {
 	move := catalogue.NewMove(catalogue.MoveSpec{EntrySpec: catalogue.EntrySpec{Name: "m"}, From: "v1", To: "v2"})
-	return &storm{t: t, yard: newYard(yardSpec{
+	return &storm{t: t, fixture: newFixture(fixtureSpec{
 		seed: seed, shards: 3, replicas: 3, slots: 3, daemons: 1, policy: catalogue.Current,
 		versions: []string{"v1", "v1", "v2"}, moves: []*catalogue.Move{move},
 	})}
--- a/home/tail_test.go
+++ b/home/tail_test.go
@@ -26,7 +26,7 @@
 // the time with the named searcher ten times slow, and again 10 s after its
 // recovery.
 func (out *tail) run(policy catalogue.Policy, load float64, slow string, seed uint64, d time.Duration) {
-	y := newYard(yardSpec{seed: seed, shards: 20, replicas: 2, slots: 2, daemons: 7, policy: policy})
+	y := newFixture(fixtureSpec{seed: seed, shards: 20, replicas: 2, slots: 2, daemons: 7, policy: policy})
 	y.c.run(time.Second)
 	y.load(load, 10*time.Second)
 	y.take()
--- a/once/desk.go
+++ b/once/responder.go
@@ -8,22 +8,22 @@
 	"medlaryard.example/medlaryard/refusal"
 )
 
-// Desk answers Outcome calls of other daemons.
-type Desk struct {
+// Responder answers Outcome calls of other daemons.
+type Responder struct {
 	incarnation string
 	now         func() time.Time
 	tables      map[Side]*Table
 }
 
-// NewDesk returns a Desk of a daemon incarnation with its two tables. The
+// NewResponder returns a Responder of a daemon incarnation with its two tables. The
 // function is the clock that tickets are issued with.
-func NewDesk(incarnation string, now func() time.Time, entry, home *Table) *Desk {
-	return &Desk{incarnation: incarnation, now: now, tables: map[Side]*Table{Entry: entry, Home: home}}
+func NewResponder(incarnation string, now func() time.Time, entry, home *Table) *Responder {
+	return &Responder{incarnation: incarnation, now: now, tables: map[Side]*Table{Entry: entry, Home: home}}
 }
 
 // Outcome answers one call. An identifier that was never seen is barred.
-func (d *Desk) Outcome(in *peerpb.OutcomeRequest) (*peerpb.OutcomeReply, error) {
-	if in.Incarnation != d.incarnation {
+func (r *Responder) Outcome(in *peerpb.OutcomeRequest) (*peerpb.OutcomeReply, error) {
+	if in.Incarnation != r.incarnation {
 		return &peerpb.OutcomeReply{WrongIncarnation: true}, nil
 	}
 	q, err := parseQuestion(in.Id)
@@ -31,15 +31,15 @@
 		return nil, err
 	}
 	meter.Count("once.asked", 1)
-	t := d.tables[q.side]
-	if !q.issued.IsZero() && d.now().Sub(q.issued) >= t.Window() && t.Find(q.owner, q.id) == nil {
+	t := r.tables[q.side]
+	if !q.issued.IsZero() && r.now().Sub(q.issued) >= t.Window() && t.Find(q.owner, q.id) == nil {
 		return unproved(refusal.TicketExpired, "the request's record may have expired"), nil
 	}
-	r, known := t.Bar(q.owner, q.id)
-	if r == nil {
+	record, known := t.Bar(q.owner, q.id)
+	if record == nil {
 		return unproved(refusal.OutcomeUnknown, "identifier table is full"), nil
 	}
-	o, finished := r.Outcome()
+	o, finished := record.Outcome()
 	return &peerpb.OutcomeReply{
 		Known: known, Finished: finished, Kind: string(o.kind), Ran: string(o.ran), Body: o.body, Detail: o.detail,
 	}, nil
