daemon: tests listen on an IP address of their own process

Cause: TestWithdrawnDaemonLeavesAddresses failed once in 8 parallel runs with "address already in use": another connection took a free port of 127.0.0.1 before the fixture listened on it. Ruled out: the load; the failing run ended at the bind, before any daemon ran. Change: the fixture reserves ports on a loopback address derived from the pid.

--- a/daemon/fixture_test.go
+++ b/daemon/fixture_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -139,12 +140,15 @@
 	return spec
 }
 
-// freeAddresses returns loopback addresses that nothing listens on.
+// freeAddresses returns loopback addresses that nothing listens on. They have an
+// IP address of this process: on 127.0.0.1 a connection of another test took a
+// free port before the fixture listened on it.
 func freeAddresses(t *testing.T, n int) []string {
 	t.Helper()
+	ip := fmt.Sprintf("127.%d.%d.1", 1+os.Getpid()/250%250, 1+os.Getpid()%250)
 	var list []string
 	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		l, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
 		if err != nil {
 			t.Fatal(err)
 		}
