--- a/Makefile
+++ b/Makefile
@@ -22,6 +22,7 @@
 
 generate:
 	buf generate
+	go test ./reference -update
 
 quickstart: build
 	scripts/quickstart
--- a/reference/capacity.go
+++ b/reference/capacity.go
@@ -127,8 +127,8 @@
 	allGroups := t.fanOut * t.daemons / chosenCell
 	whole := own + t.searchers*catalogueMemory + allGroups*orderMemory
 	split := own + chosenCell/t.daemons*(t.searchers*catalogueMemory+allGroups*orderMemory)
-	fmt.Fprintf(b, "\nMemory: %s MB with the whole catalogue (%s of %s MB), %s MB with the catalogue split by cell (%s).\n\n",
-		number(whole), fits(whole, t.memory), number(t.memory), number(split), fits(split, t.memory))
+	fmt.Fprintf(b, "\nMemory, limit %s MB: %s MB with the whole catalogue (%s), %s MB with the catalogue split by cell (%s).\n\n",
+		number(t.memory), number(whole), fits(whole, t.memory), number(split), fits(split, t.memory))
 }
 
 func writeStore(b *strings.Builder, t target) {
--- a/reference/slopes.go
+++ b/reference/slopes.go
@@ -9,12 +9,12 @@
 	itemCPU = 8.0
 	// subRequestCPU is what all daemons together spend on a sub-request, from
 	// scripts/trial cost.
-	subRequestCPU = 314.0
+	subRequestCPU = 446.0
 	// idleCPU is the share of a core that an idle daemon with the cell's seven
 	// members spends, and searcherCPU what each of its searchers adds; from
 	// scripts/trial idle with 10, 20, 40 and 80 shards.
-	idleCPU     = 0.0093
-	searcherCPU = 0.00062
+	idleCPU     = 0.0148
+	searcherCPU = 0.00025
 	// baseMemory is the resident megabytes of a daemon and searcherMemory what
 	// each of its searchers adds; from the same runs.
 	baseMemory     = 23.7
--- a/reference/target.go
+++ b/reference/target.go
@@ -32,7 +32,7 @@
 	renewsPerSecond = 1 / 1.5
 	checksPerSecond = 1 / 60.0
 	// healthPerSecond is the inverse of the interval in package home.
-	healthPerSecond = 2.0
+	healthPerSecond = 1.0
 	// probesPerSecond is the inverse of the interval in package daemon.
 	probesPerSecond    = 5.0
 	watchersPerDomain  = 2.0
