move: one check of a sample's counts

Cause: DecodeSample and SampleOf stood beside each other with the same check and assignment. Ruled out: merging the callers, which have different sources of the histogram. Change: DecodeSample decodes and calls SampleOf; the same inputs are refused.

--- a/move/sample.go
+++ b/move/sample.go
@@ -28,22 +28,17 @@
 
 // DecodeSample rebuilds a Sample from its counts and an encoded histogram.
 func DecodeSample(requests, errors uint64, latency []byte) (*Sample, error) {
-	s := NewSample()
-	if errors > requests {
-		return nil, eris.Errorf("%d errors exceed %d requests", errors, requests)
+	if len(latency) == 0 {
+		return SampleOf(requests, errors, NewSample().latency)
 	}
-	if len(latency) > 0 {
-		h, err := hdrhistogram.Decode(latency)
-		if err != nil {
-			return nil, eris.Wrap(err, "decode latency histogram")
-		}
-		if !sameShape(h) {
-			return nil, eris.New("latency histogram has another range or precision")
-		}
-		s.latency = h
+	h, err := hdrhistogram.Decode(latency)
+	if err != nil {
+		return nil, eris.Wrap(err, "decode latency histogram")
 	}
-	s.requests, s.errors = requests, errors
-	return s, nil
+	if !sameShape(h) {
+		return nil, eris.New("latency histogram has another range or precision")
+	}
+	return SampleOf(requests, errors, h)
 }
 
 // SampleOf returns a Sample with counts and latencies that were recorded
