--- a/command/cli.go
+++ b/command/cli.go
@@ -10,6 +10,7 @@
 // cli is the command line.
 type cli struct {
 	Serve     serveCommand     `cmd:"" help:"Run the daemon until SIGTERM or SIGINT, then shut down gracefully. A second signal exits at once."`
+	Node      nodeCommand      `cmd:"" help:"Run a daemon on the Tamasha Sauti platform until SIGTERM, then shut down gracefully."`
 	Check     checkCommand     `cmd:"" help:"Check catalogue files, and show how they differ from what is in force."`
 	Apply     applyCommand     `cmd:"" help:"Put a catalogue in force."`
 	Status    statusCommand    `cmd:"" help:"Show the status of daemons."`
--- /dev/null
+++ b/mirror/follower.go
@@ -0,0 +1,184 @@
+package mirror
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"medlaryard.example/medlaryard/clock"
+	"medlaryard.example/medlaryard/meter"
+)
+
+const (
+	// callTimeout is long against a store that answers in milliseconds, and
+	// short against the seconds within which a change must be in force.
+	callTimeout = 900 * time.Millisecond
+	// watchWait is how long a watch waits for a change. A watch that has gone
+	// silent is given up after this time.
+	watchWait = 4 * time.Second
+	// pingEvery is how often a daemon that watches proves its contact.
+	pingEvery = 600 * time.Millisecond
+	// firstDelay and lastDelay bound the pause after a failed call.
+	firstDelay = 100 * time.Millisecond
+	lastDelay  = time.Second
+	// idleCheck is how often a daemon that does not watch looks whether it should.
+	idleCheck = 250 * time.Millisecond
+	// freshContact is the age up to which a daemon's contact with the store
+	// counts as intact: two pings and the longest call.
+	freshContact = 2*pingEvery + 300*time.Millisecond
+)
+
+// FreshContact is the age of a daemon's last contact with the store up to which
+// the others leave the watching to it.
+const FreshContact = freshContact
+
+// Follower keeps a mirror up to date from the store.
+type Follower struct {
+	mirror *Mirror
+	store  Store
+	clock  clock.Clock
+	log    zerolog.Logger
+	elect  func() bool
+
+	contact   atomic.Int64 // Boot time of the last answer, in nanoseconds.
+	connected atomic.Bool
+	regained  atomic.Int64 // Boot time of the end of the last loss of contact.
+	wg        sync.WaitGroup
+}
+
+// Kind is how one kind of object is followed.
+type Kind struct {
+	name   string
+	reread time.Duration
+}
+
+// NewKind follows the kind of that name and lists it again after each reread,
+// whatever the watch says.
+func NewKind(name string, reread time.Duration) Kind { return Kind{name: name, reread: reread} }
+
+// NewFollower returns a follower. Elect reports whether this daemon is to watch
+// the store now; otherwise it relies on its neighbours.
+func NewFollower(m *Mirror, s Store, c clock.Clock, l zerolog.Logger, elect func() bool) *Follower {
+	return &Follower{mirror: m, store: s, clock: c, log: l, elect: elect}
+}
+
+// Run follows the kinds until ctx ends.
+func (f *Follower) Run(ctx context.Context, kinds ...Kind) {
+	for _, k := range kinds {
+		f.wg.Add(1)
+		go func() {
+			defer f.wg.Done()
+			f.follow(ctx, k)
+		}()
+	}
+	f.wg.Add(1)
+	go func() {
+		defer f.wg.Done()
+		f.ping(ctx)
+	}()
+	f.wg.Wait()
+}
+
+// StoreAge returns the time since the store last answered.
+func (f *Follower) StoreAge() time.Duration {
+	at := f.contact.Load()
+	if at == 0 {
+		return time.Hour
+	}
+	return f.clock.Boot() - time.Duration(at)
+}
+
+// SinceRegained returns the time since contact with the store was regained
+// after a loss.
+func (f *Follower) SinceRegained() time.Duration {
+	return f.clock.Boot() - time.Duration(f.regained.Load())
+}
+
+func (f *Follower) follow(ctx context.Context, k Kind) {
+	delay := firstDelay
+	var listed time.Duration
+	fresh := false
+	for ctx.Err() == nil {
+		if f.mirror.Known(k.name) && !f.elect() {
+			fresh = false
+			_ = clock.Sleep(ctx, f.clock, idleCheck) // Ends early only with ctx.
+			continue
+		}
+		var err error
+		if _, known := f.mirror.Cursor(k.name); !known || !fresh || f.clock.Boot()-listed >= k.reread {
+			err = f.list(ctx, k.name)
+			fresh, listed = err == nil, f.clock.Boot()
+		} else {
+			err = f.watch(ctx, k.name, min(watchWait, k.reread))
+			fresh = err == nil
+		}
+		f.note(err)
+		if err == nil {
+			delay = firstDelay
+			continue
+		}
+		meter.Count("mirror.store.failed", 1)
+		f.log.Debug().Err(err).Str("kind", k.name).Dur("delay", delay).Msg("reading the store failed")
+		_ = clock.Sleep(ctx, f.clock, delay) // Ends early only with ctx.
+		delay = min(2*delay, lastDelay)
+	}
+}
+
+func (f *Follower) list(ctx context.Context, kind string) error {
+	ctx, cancel := clock.WithDeadline(ctx, f.clock, f.clock.Boot()+callTimeout)
+	defer cancel()
+	objects, at, err := f.store.List(ctx, kind)
+	if err != nil {
+		return err
+	}
+	f.mirror.Replace(kind, objects, at)
+	return nil
+}
+
+func (f *Follower) watch(ctx context.Context, kind string, wait time.Duration) error {
+	cursor, _ := f.mirror.Cursor(kind)
+	ctx, cancel := clock.WithDeadline(ctx, f.clock, f.clock.Boot()+wait+callTimeout)
+	defer cancel()
+	events, at, err := f.store.Watch(ctx, kind, cursor, wait)
+	if errors.Is(err, ErrHistoryGone) {
+		meter.Count("mirror.store.history_gone", 1)
+	}
+	if err != nil {
+		return err
+	}
+	f.mirror.Apply(kind, events, at)
+	return nil
+}
+
+// ping proves the contact while this daemon watches.
+func (f *Follower) ping(ctx context.Context) {
+	for clock.Sleep(ctx, f.clock, pingEvery) == nil {
+		if f.StoreAge() < pingEvery || !f.elect() {
+			continue
+		}
+		call, cancel := clock.WithDeadline(ctx, f.clock, f.clock.Boot()+callTimeout)
+		err := f.store.Ping(call)
+		cancel()
+		f.note(err)
+	}
+}
+
+// note keeps the time of the last contact and logs its loss and return.
+func (f *Follower) note(err error) {
+	now := f.clock.Boot()
+	if err == nil || errors.Is(err, ErrHistoryGone) {
+		last := time.Duration(f.contact.Swap(int64(now)))
+		if !f.connected.Swap(true) {
+			f.regained.Store(int64(now))
+			f.log.Info().Dur("lost_for", now-last).Msg("store answers")
+		}
+		return
+	}
+	if f.StoreAge() > freshContact && f.connected.Swap(false) {
+		f.log.Warn().Err(err).Dur("age", f.StoreAge()).Msg("store does not answer")
+	}
+}
--- /dev/null
+++ b/mirror/object.go
@@ -0,0 +1,48 @@
+package mirror
+
+import "bytes"
+
+// Object is one object of the store.
+type Object struct {
+	name     string
+	revision uint64
+	spec     []byte
+	status   []byte
+}
+
+// NewObject returns the object of that name as of revision. Spec and status are
+// encoded as the store sent them.
+func NewObject(name string, revision uint64, spec, status []byte) Object {
+	return Object{name: name, revision: revision, spec: spec, status: status}
+}
+
+// Name returns the name, which is unique within its kind.
+func (o Object) Name() string { return o.name }
+
+// Revision returns the store's revision of the last change.
+func (o Object) Revision() uint64 { return o.revision }
+
+// Spec returns the encoded specification.
+func (o Object) Spec() []byte { return o.spec }
+
+// Status returns the encoded status.
+func (o Object) Status() []byte { return o.status }
+
+func (o Object) equal(p Object) bool {
+	return o.name == p.name && bytes.Equal(o.spec, p.spec) && bytes.Equal(o.status, p.status)
+}
+
+// Event is a change of one object.
+type Event struct {
+	object  Object
+	deleted bool
+}
+
+// NewEvent returns the event that o was set or deleted.
+func NewEvent(o Object, deleted bool) Event { return Event{object: o, deleted: deleted} }
+
+// Object returns the object after the change, or before its deletion.
+func (e Event) Object() Object { return e.object }
+
+// Deleted reports whether the object was deleted.
+func (e Event) Deleted() bool { return e.deleted }
--- /dev/null
+++ b/node/apply.go
@@ -0,0 +1,118 @@
+package node
+
+import (
+	"context"
+	"maps"
+	"net"
+	"time"
+
+	"medlaryard.example/medlaryard/platform"
+	"medlaryard.example/medlaryard/route"
+	"medlaryard.example/medlaryard/target"
+)
+
+const (
+	// connectionShare is the part of a target's connections that daemons divide
+	// among themselves; the rest is for those that are being closed.
+	connectionShare = 0.9
+)
+
+// apply puts the mirrored configuration and targets in force.
+func (d *Daemon) apply() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.applyConfig()
+	if d.table == nil {
+		return
+	}
+	now := d.clock.Now()
+	d.roster.update(platform.DecodeTargets(d.mirror.Objects(platform.KindTargets), d.settings.RegionOf), now)
+	d.updateGroups(now)
+}
+
+// applyConfig installs a configuration that is newer than the one in force.
+func (d *Daemon) applyConfig() {
+	t, err := platform.DecodeConfig(d.mirror.Objects(platform.KindConfig))
+	if err != nil {
+		d.log.Error().Err(err).Msg("configuration cannot be read; the one in force stays")
+		return
+	}
+	if t == nil || d.table != nil && t.Version() <= d.table.Version() {
+		return
+	}
+	groups := make(map[string]*target.Group, len(t.Services()))
+	for name := range t.Services() {
+		if g := d.groups[name]; g != nil {
+			groups[name] = g
+			continue
+		}
+		groups[name] = d.newGroup(name)
+	}
+	for name, g := range d.groups {
+		if groups[name] == nil {
+			g.Update(nil) // Requests under way are still answered.
+		}
+	}
+	d.groups, d.table = groups, t
+	d.resizeGroups()
+	d.updateGroups(d.clock.Now())
+	d.engine.Install(t, maps.Clone(groups))
+	d.log.Info().Uint64("configuration", t.Version()).Int("services", len(groups)).Msg("configuration in force")
+}
+
+func (d *Daemon) newGroup(service string) *target.Group {
+	return target.NewGroup(service, platform.TargetProtocol(),
+		target.Clock(d.clock), target.Near(d.settings.Zone()), target.Log(d.log),
+		target.Dial(func(ctx context.Context, address string) (net.Conn, error) {
+			return new(net.Dialer).DialContext(ctx, "tcp4", address)
+		}))
+}
+
+// updateGroups hands each group its targets and comes back when the next
+// vanished target expires.
+func (d *Daemon) updateGroups(now time.Time) {
+	entries, next := d.roster.entries(now, d.evacuated())
+	for name, g := range d.groups {
+		g.Update(entries[name])
+	}
+	if d.expiry != nil {
+		d.expiry.Stop()
+		d.expiry = nil
+	}
+	if !next.IsZero() {
+		d.expiry = d.clock.AfterFunc(next.Sub(now), func() { d.changed(platform.KindTargets) })
+	}
+}
+
+// evacuated returns the failure domains that operators have taken out.
+func (d *Daemon) evacuated() map[string]bool {
+	zones := make(map[string]bool)
+	for _, o := range d.mirror.Objects(platform.KindEvacuations) {
+		zones[o.Name()] = true
+	}
+	return zones
+}
+
+// resize follows the size of the fleet.
+func (d *Daemon) resize() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.table != nil {
+		d.resizeGroups()
+	}
+}
+
+func (d *Daemon) resizeGroups() {
+	n := d.fleet.Size()
+	used := d.table.Used()
+	budget := target.NewBudgetLimits(d.settings.ExtraRatio(), d.settings.ExtraSlack(), n)
+	for name, g := range d.groups {
+		g.Resize(sizing(d.table.Service(name), n, budget, used[name]))
+	}
+}
+
+// sizing divides the limits of a service among n daemons.
+func sizing(s *route.Service, n int, b target.BudgetLimits, used bool) target.Sizing {
+	share := int(connectionShare * float64(s.MaxConnections()) / float64(n))
+	return target.NewSizing(share, s.WarmUpRate(), b, used)
+}
--- /dev/null
+++ b/node/daemon.go
@@ -0,0 +1,387 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/rs/zerolog"
+
+	"medlaryard.example/medlaryard/clock"
+	"medlaryard.example/medlaryard/fleet"
+	"medlaryard.example/medlaryard/meter"
+	"medlaryard.example/medlaryard/mirror"
+	"medlaryard.example/medlaryard/mirror/mirrorpb"
+	"medlaryard.example/medlaryard/platform"
+	"medlaryard.example/medlaryard/query"
+	"medlaryard.example/medlaryard/route"
+	"medlaryard.example/medlaryard/target"
+)
+
+const (
+	// configReread, targetsReread and ordersReread bound the time for which a
+	// watch that misses changes is believed.
+	configReread  = 2 * time.Second
+	targetsReread = 8 * time.Second
+	ordersReread  = 10 * time.Second
+	// fetchTimeout bounds one call to a neighbour.
+	fetchTimeout = 700 * time.Millisecond
+	// resizeEvery is how often the division of limits follows the fleet's size.
+	resizeEvery = time.Second
+	// registerDelay is the pause before the registration is tried again.
+	registerDelay = 500 * time.Millisecond
+	// peerProbeIdle finds connections between daemons that have gone silent.
+	peerProbeIdle = time.Second
+	// callerHeaderTimeout bounds the sending of a request's header.
+	callerHeaderTimeout = 10 * time.Second
+	// callerIdle is above the idle times that configurations permit.
+	callerIdle = 90 * time.Second
+)
+
+// Daemon is one daemon of the query tier.
+type Daemon struct {
+	settings Settings
+	clock    clock.Clock
+	log      zerolog.Logger
+
+	store    *platform.Store
+	mirror   *mirror.Mirror
+	follower *mirror.Follower
+	fleet    *fleet.Fleet
+	engine   *query.Engine
+	peers    *http.Client
+
+	incarnation uint64
+	leaving     atomic.Bool
+	changes     chan struct{}
+	fetches     chan string
+
+	mu       sync.Mutex
+	roster   *roster
+	groups   map[string]*target.Group
+	table    *route.Table
+	expiry   clock.Timer
+	wg       sync.WaitGroup
+	servers  []*http.Server
+	failures chan error
+}
+
+// Run runs a daemon until ctx ends and its graceful shutdown is done.
+func Run(ctx context.Context, s Settings, c clock.Clock, l zerolog.Logger) error {
+	d := newDaemon(s, c, l)
+	l.Info().Str("zone", s.Zone()).Str("callers", s.Callers()).Str("store", s.Store()).Msg("daemon starts")
+	if err := d.listen(); err != nil {
+		return err
+	}
+	work, stop := context.WithCancel(context.Background())
+	d.start(work)
+	var err error
+	select {
+	case <-ctx.Done():
+		d.drain()
+	case err = <-d.failures:
+	}
+	stop()
+	d.close()
+	l.Info().Err(err).Msg("daemon stops")
+	return err
+}
+
+func newDaemon(s Settings, c clock.Clock, l zerolog.Logger) *Daemon {
+	d := &Daemon{
+		settings: s, clock: c, log: l,
+		store:       platform.NewStore(s.Store()),
+		incarnation: rand.Uint64(),
+		changes:     make(chan struct{}, 1),
+		fetches:     make(chan string, 1),
+		roster:      newRoster(l),
+		groups:      make(map[string]*target.Group),
+		failures:    make(chan error, 1),
+		peers: &http.Client{Transport: &http.Transport{
+			DialContext: (&net.Dialer{
+				Timeout:         fetchTimeout,
+				KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: peerProbeIdle, Interval: peerProbeIdle / 2, Count: 2},
+			}).DialContext,
+			DisableCompression: true,
+		}},
+	}
+	d.mirror = mirror.New(d.changed, platform.KindConfig, platform.KindTargets, platform.KindMoves, platform.KindEvacuations)
+	d.follower = mirror.NewFollower(d.mirror, d.store.Reader(), c, l, d.watches)
+	d.engine = query.NewEngine(query.Clock(c), query.Log(l), query.Stamp(platform.Stamp), query.Allow(allowed))
+	return d
+}
+
+// allowed reports whether a target may serve a route at all.
+func allowed(r *route.Route, e target.Entry) bool { return r.AllowsRegion(e.Region()) }
+
+// listen opens all listeners before anything else is started.
+func (d *Daemon) listen() error {
+	conn, err := net.ListenPacket("udp4", d.settings.PeerAddress())
+	if err != nil {
+		return eris.Wrap(err, "listen for heartbeats")
+	}
+	d.fleet = fleet.New(conn, d.describe, fleet.Clock(d.clock), fleet.Log(d.log), fleet.OnHeartbeat(d.heard))
+	for _, l := range []struct {
+		address string
+		handler http.Handler
+	}{
+		{d.settings.Callers(), platform.NewFront(d.engine, d.clock, d.leaving.Load)},
+		{d.settings.Ready(), platform.Ready(d.ready)},
+		{d.settings.Directory(), platform.Directory(d.addresses, d.settings.AddressTTL())},
+		{d.settings.Operators(), operatorsHandler()},
+		{d.settings.PeerAddress(), mirror.Handler(d.mirror)},
+	} {
+		if err := d.serve(l.address, l.handler); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (d *Daemon) serve(address string, h http.Handler) error {
+	l, err := net.Listen("tcp4", address)
+	if err != nil {
+		return eris.Wrap(err, "listen")
+	}
+	s := &http.Server{
+		Handler:           h,
+		ReadHeaderTimeout: callerHeaderTimeout,
+		IdleTimeout:       callerIdle,
+	}
+	d.servers = append(d.servers, s)
+	d.wg.Add(1)
+	go func() {
+		defer d.wg.Done()
+		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			d.fail(eris.Wrapf(err, "serve %s", address))
+		}
+	}()
+	return nil
+}
+
+// fail ends the daemon with the first error.
+func (d *Daemon) fail(err error) {
+	select {
+	case d.failures <- err:
+	default:
+		d.log.Error().Err(err).Msg("another failure while the daemon ends")
+	}
+}
+
+// operatorsHandler serves the metrics.
+func operatorsHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
+		if err := meter.WriteText(w); err != nil {
+			meter.Count("node.metrics_failed", 1)
+		}
+	})
+	return mux
+}
+
+func (d *Daemon) start(ctx context.Context) {
+	d.fleet.Start()
+	for _, address := range d.seeds() {
+		d.fleet.Add(address)
+	}
+	d.goes(func() {
+		d.follower.Run(ctx,
+			mirror.NewKind(platform.KindConfig, configReread),
+			mirror.NewKind(platform.KindTargets, targetsReread),
+			mirror.NewKind(platform.KindMoves, ordersReread),
+			mirror.NewKind(platform.KindEvacuations, ordersReread))
+	})
+	d.goes(func() { d.join(ctx) })
+	d.goes(func() { d.fetch(ctx) })
+	d.goes(func() { d.applyChanges(ctx) })
+	d.goes(func() {
+		for clock.Sleep(ctx, d.clock, resizeEvery) == nil {
+			d.resize()
+		}
+	})
+}
+
+func (d *Daemon) goes(f func()) {
+	d.wg.Add(1)
+	go func() {
+		defer d.wg.Done()
+		f()
+	}()
+}
+
+// seeds returns the peer addresses of the daemons that the settings name; all
+// daemons use the same ports.
+func (d *Daemon) seeds() []string {
+	own := netip.MustParseAddrPort(d.settings.PeerAddress()) // Checked with the settings.
+	var seeds []string
+	for _, p := range d.settings.Peers() {
+		a := netip.MustParseAddrPort(p)
+		seeds = append(seeds, netip.AddrPortFrom(a.Addr(), own.Port()).String())
+	}
+	return seeds
+}
+
+// join registers the daemon and finds those that are registered.
+func (d *Daemon) join(ctx context.Context) {
+	for ctx.Err() == nil {
+		call, cancel := context.WithTimeout(ctx, 2*registerDelay)
+		err := d.store.Register(call, d.settings.Name(), d.settings.PeerAddress())
+		var addresses []string
+		if err == nil {
+			addresses, err = d.store.Daemons(call)
+		}
+		cancel()
+		if err == nil {
+			for _, a := range addresses {
+				d.fleet.Add(a)
+			}
+			return
+		}
+		d.log.Warn().Err(err).Msg("registration in the store failed")
+		_ = clock.Sleep(ctx, d.clock, registerDelay) // Ends early only with ctx.
+	}
+}
+
+// describe is the heartbeat of this daemon.
+func (d *Daemon) describe() *mirrorpb.Heartbeat {
+	return &mirrorpb.Heartbeat{
+		Name: d.settings.Name(), Incarnation: d.incarnation, Zone: d.settings.Zone(),
+		Front: d.settings.Callers(), Peer: d.settings.PeerAddress(),
+		Leaving: d.leaving.Load(), Serving: d.engine.Table() != nil,
+		StoreAgeMs: uint32(min(d.follower.StoreAge(), time.Hour).Milliseconds()),
+		Versions:   d.mirror.Versions(),
+	}
+}
+
+// watchers is how many daemons watch the store at a time, so that the loss of
+// one delays nothing.
+const watchers = 2
+
+// watches reports whether this daemon is to watch the store: fewer than the
+// wanted number of daemons before it in the order of names do.
+func (d *Daemon) watches() bool {
+	before := 0
+	for _, m := range d.fleet.Alive() {
+		if m.Name() < d.settings.Name() && !m.Leaving() && m.StoreAge() < mirror.FreshContact {
+			before++
+		}
+	}
+	return before < watchers
+}
+
+// heard fetches changes from a neighbour that has some.
+func (d *Daemon) heard(m fleet.Member) {
+	own := d.mirror.Versions()
+	for kind, v := range m.Versions() {
+		if have, ok := own[kind]; !ok || have < v {
+			select {
+			case d.fetches <- m.Peer():
+			default: // A fetch is under way; the next heartbeat tells again.
+			}
+			return
+		}
+	}
+}
+
+func (d *Daemon) fetch(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case address := <-d.fetches:
+			call, cancel := context.WithTimeout(ctx, fetchTimeout)
+			if err := mirror.Fetch(call, d.peers, address, d.mirror); err != nil && ctx.Err() == nil {
+				meter.Count("node.fetch_failed", 1)
+				d.log.Warn().Err(err).Str("peer", address).Msg("fetching changes from another daemon failed")
+			}
+			cancel()
+		}
+	}
+}
+
+// changed wakes the applier and tells the neighbours.
+func (d *Daemon) changed(string) {
+	select {
+	case d.changes <- struct{}{}:
+	default:
+	}
+}
+
+func (d *Daemon) applyChanges(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-d.changes:
+			d.apply()
+			d.fleet.Beat()
+		}
+	}
+}
+
+// ready reports whether callers should come to this daemon.
+func (d *Daemon) ready() bool { return !d.leaving.Load() && d.engine.Table() != nil }
+
+// addresses returns the addresses that callers are to use.
+func (d *Daemon) addresses(string) []string {
+	var list []string
+	if d.ready() {
+		list = append(list, d.settings.Callers())
+	}
+	for _, m := range d.fleet.Alive() {
+		if m.Serving() && !m.Leaving() {
+			list = append(list, m.Front())
+		}
+	}
+	return list
+}
+
+const (
+	// acceptShare is the part of the shutdown time in which new requests are
+	// still accepted, because callers keep addresses for a while.
+	acceptShare = 0.55
+	// finishShare is the part after which the process ends in any case.
+	finishShare = 0.93
+)
+
+// drain tells callers and daemons that this one leaves, serves for a while and
+// then finishes what is under way.
+func (d *Daemon) drain() {
+	began := d.clock.Boot()
+	d.leaving.Store(true)
+	d.log.Info().Msg("graceful shutdown begins")
+	d.fleet.Beat()
+	total := d.settings.Shutdown()
+	_ = clock.Sleep(context.Background(), d.clock, time.Duration(acceptShare*float64(total))) // Never ends early.
+	ctx, cancel := clock.WithDeadline(context.Background(), d.clock, began+time.Duration(finishShare*float64(total)))
+	defer cancel()
+	if err := d.servers[0].Shutdown(ctx); err != nil {
+		d.log.Warn().Err(err).Msg("requests were cut off by the end of the shutdown")
+	}
+}
+
+func (d *Daemon) close() {
+	for _, s := range d.servers {
+		if err := s.Close(); err != nil {
+			d.log.Warn().Err(err).Msg("closing a listener failed")
+		}
+	}
+	if err := d.fleet.Close(); err != nil {
+		d.log.Warn().Err(err).Msg("closing the heartbeat socket failed")
+	}
+	d.mu.Lock()
+	groups := d.groups
+	d.mu.Unlock()
+	for _, g := range groups {
+		g.Close()
+	}
+	d.store.Close()
+	d.wg.Wait()
+}
--- /dev/null
+++ b/node/settings.go
@@ -0,0 +1,159 @@
+package node
+
+import (
+	"net/netip"
+	"os"
+	"time"
+
+	"github.com/goccy/go-yaml"
+	"github.com/rotisserie/eris"
+)
+
+// Settings are the settings of one daemon, read from a YAML file.
+type Settings struct {
+	file settingsFile
+}
+
+// settingsFile is the layout of the file. Durations are milliseconds.
+type settingsFile struct {
+	Name   string            `yaml:"name"`
+	Zone   string            `yaml:"zone"`
+	Region string            `yaml:"region"`
+	Zones  map[string]string `yaml:"zones"`
+	Listen struct {
+		Callers   string `yaml:"callers"`
+		Ready     string `yaml:"ready"`
+		Directory string `yaml:"directory"`
+		Operators string `yaml:"operators"`
+		Peers     string `yaml:"peers"`
+	} `yaml:"listen"`
+	Peers []string `yaml:"peers"`
+	Store struct {
+		Address string `yaml:"address"`
+	} `yaml:"store"`
+	AddressTTLMS int64 `yaml:"address_ttl_ms"`
+	ShutdownMS   int64 `yaml:"shutdown_ms"`
+	Extra        struct {
+		Ratio float64 `yaml:"ratio"`
+		Slack float64 `yaml:"slack"`
+	} `yaml:"extra_sends"`
+	LogLevel string `yaml:"log_level"`
+}
+
+const (
+	defaultAddressTTL = time.Second
+	defaultShutdown   = 6 * time.Second
+)
+
+// LoadSettings reads and checks the file at path. Errors name the position of
+// the fault.
+func LoadSettings(path string) (Settings, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return Settings{}, eris.Wrap(err, "read settings")
+	}
+	return DecodeSettings(path, text)
+}
+
+// DecodeSettings reads the text of a settings file; name stands in errors.
+func DecodeSettings(name string, text []byte) (Settings, error) {
+	var s Settings
+	if err := yaml.UnmarshalWithOptions(text, &s.file, yaml.Strict()); err != nil {
+		return Settings{}, eris.Wrapf(err, "settings file %s", name)
+	}
+	if err := s.file.check(); err != nil {
+		return Settings{}, eris.Wrapf(err, "settings file %s", name)
+	}
+	return s, nil
+}
+
+func (f *settingsFile) check() error {
+	if f.Name == "" {
+		return eris.New("name: is missing")
+	}
+	if f.Zone == "" {
+		return eris.New("zone: is missing")
+	}
+	for _, a := range []struct{ path, address string }{
+		{"listen.callers", f.Listen.Callers},
+		{"listen.ready", f.Listen.Ready},
+		{"listen.directory", f.Listen.Directory},
+		{"listen.operators", f.Listen.Operators},
+		{"listen.peers", f.Listen.Peers},
+		{"store.address", f.Store.Address},
+	} {
+		if _, err := netip.ParseAddrPort(a.address); err != nil {
+			return eris.Errorf("%s: %q is not an IP address with a port", a.path, a.address)
+		}
+	}
+	for i, p := range f.Peers {
+		if _, err := netip.ParseAddrPort(p); err != nil {
+			return eris.Errorf("peers[%d]: %q is not an IP address with a port", i, p)
+		}
+	}
+	if f.Extra.Ratio < 0 || f.Extra.Slack < 0 {
+		return eris.New("extra_sends: ratio and slack must not be negative")
+	}
+	if f.AddressTTLMS < 0 || f.ShutdownMS < 0 {
+		return eris.New("address_ttl_ms and shutdown_ms must not be negative")
+	}
+	return nil
+}
+
+// Name returns the daemon's name.
+func (s Settings) Name() string { return s.file.Name }
+
+// Zone returns the daemon's failure domain.
+func (s Settings) Zone() string { return s.file.Zone }
+
+// Region returns the daemon's region.
+func (s Settings) Region() string { return s.file.Region }
+
+// RegionOf returns the region of a failure domain, "" if it is not known.
+func (s Settings) RegionOf(zone string) string { return s.file.Zones[zone] }
+
+// Callers returns the address of the callers' listener.
+func (s Settings) Callers() string { return s.file.Listen.Callers }
+
+// Ready returns the address of the readiness check.
+func (s Settings) Ready() string { return s.file.Listen.Ready }
+
+// Directory returns the address at which callers ask for addresses.
+func (s Settings) Directory() string { return s.file.Listen.Directory }
+
+// Operators returns the address of metrics and status.
+func (s Settings) Operators() string { return s.file.Listen.Operators }
+
+// PeerAddress returns the address for other daemons, over TCP and UDP.
+func (s Settings) PeerAddress() string { return s.file.Listen.Peers }
+
+// Peers returns operators' addresses of other daemons to start from.
+func (s Settings) Peers() []string { return s.file.Peers }
+
+// Store returns the address of the platform's store.
+func (s Settings) Store() string { return s.file.Store.Address }
+
+// AddressTTL returns how long callers may keep the addresses they were told.
+func (s Settings) AddressTTL() time.Duration {
+	if s.file.AddressTTLMS == 0 {
+		return defaultAddressTTL
+	}
+	return time.Duration(s.file.AddressTTLMS) * time.Millisecond
+}
+
+// Shutdown returns the time from SIGTERM until the process is killed.
+func (s Settings) Shutdown() time.Duration {
+	if s.file.ShutdownMS == 0 {
+		return defaultShutdown
+	}
+	return time.Duration(s.file.ShutdownMS) * time.Millisecond
+}
+
+// ExtraRatio returns how many extra sends a request allows, over all daemons.
+func (s Settings) ExtraRatio() float64 { return s.file.Extra.Ratio }
+
+// ExtraSlack returns how many extra sends are allowed beside the ratio.
+func (s Settings) ExtraSlack() float64 { return s.file.Extra.Slack }
+
+// LogLevel returns the least severe level that is logged, "" for the default.
+func (s Settings) LogLevel() string { return s.file.LogLevel }
--- /dev/null
+++ b/query/engine.go
@@ -0,0 +1,151 @@
+package query
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/valyala/fasthttp"
+
+	"medlaryard.example/medlaryard/clock"
+	"medlaryard.example/medlaryard/meter"
+	"medlaryard.example/medlaryard/refusal"
+	"medlaryard.example/medlaryard/route"
+	"medlaryard.example/medlaryard/target"
+)
+
+// Engine answers requests under the configuration in force.
+type Engine struct {
+	clock clock.Clock
+	log   zerolog.Logger
+	stamp func(*fasthttp.Response) string
+	allow func(*route.Route, target.Entry) bool
+
+	table  atomic.Pointer[route.Table]
+	mu     sync.RWMutex
+	groups map[string]*target.Group
+	habits map[string]*habit
+}
+
+// habit is what is known of the requests of one route.
+type habit struct {
+	pace     *target.Pace
+	patience patienceVote
+}
+
+// Option sets one property of an Engine.
+type Option func(*Engine)
+
+// Clock sets the source of time.
+func Clock(c clock.Clock) Option { return func(e *Engine) { e.clock = c } }
+
+// Log sets where decisions are logged.
+func Log(l zerolog.Logger) Option { return func(e *Engine) { e.log = l } }
+
+// Stamp sets how the signature of a part is read from a target's answer.
+func Stamp(f func(*fasthttp.Response) string) Option { return func(e *Engine) { e.stamp = f } }
+
+// Allow sets which targets may serve a route.
+func Allow(f func(*route.Route, target.Entry) bool) Option { return func(e *Engine) { e.allow = f } }
+
+// NewEngine returns an engine without a configuration; it refuses all requests
+// until Install is called.
+func NewEngine(opts ...Option) *Engine {
+	e := &Engine{
+		clock:  clock.System{},
+		log:    zerolog.Nop(),
+		stamp:  func(*fasthttp.Response) string { return "" },
+		allow:  func(*route.Route, target.Entry) bool { return true },
+		groups: make(map[string]*target.Group),
+		habits: make(map[string]*habit),
+	}
+	for _, o := range opts {
+		o(e)
+	}
+	return e
+}
+
+// Table returns the configuration in force, or nil.
+func (e *Engine) Table() *route.Table { return e.table.Load() }
+
+// Install puts a configuration and the groups of its services in force.
+func (e *Engine) Install(t *route.Table, groups map[string]*target.Group) {
+	e.mu.Lock()
+	e.groups = groups
+	e.mu.Unlock()
+	e.table.Store(t)
+}
+
+func (e *Engine) group(service string) *target.Group {
+	e.mu.RLock()
+	defer e.mu.RUnlock()
+	return e.groups[service]
+}
+
+func (e *Engine) habit(r *route.Route) *habit {
+	e.mu.RLock()
+	h := e.habits[r.Name()]
+	e.mu.RUnlock()
+	if h != nil {
+		return h
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if h = e.habits[r.Name()]; h == nil {
+		h = &habit{pace: target.NewPace(r.Objective())}
+		e.habits[r.Name()] = h
+	}
+	return h
+}
+
+// Do answers one request of a caller that waits for patience. It returns early
+// when ctx ends because the caller has left.
+func (e *Engine) Do(ctx context.Context, t *route.Table, r *route.Route, send *target.Request, started time.Time, patience time.Duration) Answer {
+	h := e.habit(r)
+	elapsed := time.Duration(h.patience.elapsed(patience.Milliseconds())) * time.Millisecond
+	req := &run{
+		Engine: e, route: r, send: send, habit: h, started: started,
+		schedule: newSchedule(r, started, patience, elapsed, h.pace.Median()),
+	}
+	var a Answer
+	if r.Sharded() {
+		a = req.gather(ctx)
+	} else {
+		a = req.single(ctx, r.NextService())
+	}
+	e.account(req, a, t.Version())
+	return a
+}
+
+// account counts and logs the outcome of a request.
+func (e *Engine) account(r *run, a Answer, version uint64) {
+	took := e.clock.Now().Sub(r.started)
+	meter.Latency("query.latency", took)
+	if a.refusal != nil {
+		meter.Refused("query", a.refusal.Kind())
+		e.log.Warn().Str("request", r.send.ID()).Str("route", r.route.Name()).Uint64("configuration", version).
+			Str("kind", string(a.refusal.Kind())).Dur("took", took).Int("sends", r.sends).
+			Str("cause", a.refusal.Error()).Msg("request refused")
+		return
+	}
+	if a.merged != nil && a.merged.missing > 0 {
+		meter.Count("query.partial", 1)
+		e.log.Info().Str("request", r.send.ID()).Str("route", r.route.Name()).Uint64("configuration", version).
+			Int("missing", a.merged.missing).Strs("shards", r.missing).Dur("took", took).Int("sends", r.sends).
+			Msg("request answered without all shards")
+	}
+}
+
+// retryDelay spreads callers that come back over the time in which a target
+// that was lost is usually found again.
+func retryDelay() time.Duration {
+	const least, spread = 150 * time.Millisecond, 200 * time.Millisecond
+	return least + rand.N(spread)
+}
+
+func refuse(kind refusal.Kind, retry time.Duration, format string, args ...any) Answer {
+	return Answer{refusal: refusal.New(kind, format, args...), retryAfter: retry}
+}
--- /dev/null
+++ b/query/gather.go
@@ -0,0 +1,186 @@
+package query
+
+import (
+	"context"
+	"time"
+
+	"medlaryard.example/medlaryard/meter"
+	"medlaryard.example/medlaryard/refusal"
+	"medlaryard.example/medlaryard/target"
+)
+
+const (
+	// maxSends bounds the results that one part can produce: the sends that may
+	// run and those that targets refuse.
+	maxSends = 8
+	// recheck is how often a shard without a target is tried again.
+	recheck = 25 * time.Millisecond
+)
+
+// gather sends the request to all shards and merges the parts.
+func (r *run) gather(ctx context.Context) Answer {
+	names := r.route.Shards()
+	parts := make([]*part, len(names))
+	reachable := 0
+	for i, name := range names {
+		parts[i] = &part{service: name, group: r.group(name)}
+		if parts[i].group != nil && parts[i].group.Reachable() {
+			reachable++
+		}
+	}
+	needed := r.route.MinShards()
+	if reachable < needed {
+		return refuse(refusal.NoSearcher, retryDelay(), "targets of %d of %d shards are reachable, %d are needed", reachable, len(names), needed)
+	}
+	r.results = make(chan *target.Call, len(names)*maxSends)
+	now := r.clock.Now()
+	for i, p := range parts {
+		if p.group != nil {
+			r.attempt(p, i, now)
+		}
+	}
+	callerLeft := true
+	defer func() {
+		for _, p := range parts {
+			p.abandon(nil, callerLeft)
+		}
+	}()
+	timer := r.clock.NewTimer(r.nextCheck(parts, now).Sub(now))
+	defer timer.Stop()
+	for {
+		switch now = r.clock.Now(); r.judge(now, count(parts, needed)) {
+		case answer:
+			callerLeft = false
+			return r.merge(parts)
+		case fail:
+			callerLeft = false
+			return r.unanswered(parts, now)
+		case wait:
+		}
+		select {
+		case c := <-r.results:
+			r.take(parts[c.Tag()], c)
+			r.drain(parts)
+		case <-timer.C():
+			now = r.clock.Now()
+			r.hedge(parts, now)
+			timer.Reset(max(r.nextCheck(parts, now).Sub(now), time.Millisecond))
+		case <-ctx.Done():
+			return refuse(refusal.Cancelled, 0, "caller left after %v", r.clock.Now().Sub(r.started))
+		}
+	}
+}
+
+// drain takes in the results that are there already, so that the answer is
+// judged once for all of them.
+func (r *run) drain(parts []*part) {
+	for {
+		select {
+		case c := <-r.results:
+			r.take(parts[c.Tag()], c)
+		default:
+			return
+		}
+	}
+}
+
+// take accounts for a result and tries another target after a failure.
+func (r *run) take(p *part, c *target.Call) {
+	p.take(c)
+	if p.answer != nil || p.open > 0 {
+		return
+	}
+	if r.attempt(p, c.Tag(), r.clock.Now()) {
+		meter.Count("query.retried."+string(c.Outcome()), 1)
+	}
+}
+
+// hedge sends parts whose target is silent for too long to another target, and
+// parts without any target once more.
+func (r *run) hedge(parts []*part, now time.Time) {
+	for i, p := range parts {
+		if p.answer != nil || p.group == nil {
+			continue
+		}
+		if p.open == 0 {
+			if now.Sub(p.tried) >= recheck {
+				r.attempt(p, i, now)
+			}
+			continue
+		}
+		if len(p.calls) > 1 || now.Before(r.hedgeTime(p)) {
+			continue
+		}
+		if _, sent := p.group.SentAt(p.calls[0]); !sent {
+			continue
+		}
+		if r.attempt(p, i, now) {
+			meter.Count("query.hedged", 1)
+		}
+	}
+}
+
+func (r *run) hedgeTime(p *part) time.Time { return p.tried.Add(r.hedgeAfter) }
+
+// nextCheck returns when to look at the parts again.
+func (r *run) nextCheck(parts []*part, now time.Time) time.Time {
+	next := r.next(now)
+	for _, p := range parts {
+		if p.answer != nil || p.group == nil {
+			continue
+		}
+		t := now.Add(recheck)
+		if p.open > 0 && len(p.calls) == 1 {
+			t = r.hedgeTime(p)
+			if !t.After(now) {
+				t = now.Add(recheck) // The budget was spent, or the call waits.
+			}
+		} else if p.open > 0 {
+			continue
+		}
+		if t.Before(next) {
+			next = t
+		}
+	}
+	return next
+}
+
+func count(parts []*part, needed int) progress {
+	p := progress{shards: len(parts), needed: needed}
+	for _, part := range parts {
+		switch {
+		case part.answer != nil:
+			p.parts++
+		case part.open > 0:
+			p.pending++
+		}
+	}
+	return p
+}
+
+// merge makes the answer from the parts that are in.
+func (r *run) merge(parts []*part) Answer {
+	m := &Merged{}
+	bodies := make([][]byte, 0, len(parts))
+	for _, p := range parts {
+		if p.answer == nil {
+			m.missing++
+			r.missing = append(r.missing, p.service)
+			continue
+		}
+		resp := p.answer.Response()
+		m.stamps = append(m.stamps, r.stamp(resp))
+		bodies = append(bodies, resp.Body())
+	}
+	m.records = topRecords(bodies, r.route.TopRecords())
+	return Answer{merged: m}
+}
+
+// unanswered explains why there are too few parts.
+func (r *run) unanswered(parts []*part, now time.Time) Answer {
+	p := count(parts, r.route.MinShards())
+	if now.Before(r.end) {
+		return refuse(refusal.SearcherFailed, 0, "%d of %d parts, %d are needed and no target is left", p.parts, p.shards, p.needed)
+	}
+	return refuse(refusal.Deadline, 0, "%d of %d parts in time, %d are needed", p.parts, p.shards, p.needed)
+}
--- /dev/null
+++ b/query/single.go
@@ -0,0 +1,119 @@
+package query
+
+import (
+	"context"
+	"time"
+
+	"medlaryard.example/medlaryard/meter"
+	"medlaryard.example/medlaryard/refusal"
+	"medlaryard.example/medlaryard/target"
+)
+
+// single sends the request to one target of the service and returns its answer
+// unchanged.
+func (r *run) single(ctx context.Context, service string) Answer {
+	p := &part{service: service, group: r.group(service)}
+	r.results = make(chan *target.Call, maxSends)
+	now := r.clock.Now()
+	if p.group == nil || !r.attempt(p, 0, now) {
+		return refuse(refusal.NoSearcher, retryDelay(), "no target of %s accepts the request", service)
+	}
+	var kept *target.Call
+	callerLeft := false
+	defer func() { p.abandon(kept, callerLeft) }()
+	timer := r.clock.NewTimer(r.nextHedge(p, now).Sub(now))
+	defer timer.Stop()
+	for {
+		select {
+		case c := <-r.results:
+			p.take(c)
+			if p.answer != nil {
+				kept = p.answer
+				return r.relay(p, kept)
+			}
+			if p.open > 0 || r.again(p) {
+				continue
+			}
+			if p.failure != nil {
+				kept = p.failure
+				return r.relay(p, kept)
+			}
+			return r.lost(p)
+		case <-timer.C():
+			now = r.clock.Now()
+			if !now.Before(r.end) {
+				return r.overdue(p)
+			}
+			r.hedgeSingle(p, now)
+			timer.Reset(max(r.nextHedge(p, now).Sub(now), time.Millisecond))
+		case <-ctx.Done():
+			callerLeft = r.route.Idempotent()
+			return refuse(refusal.Cancelled, 0, "caller left after %v", r.clock.Now().Sub(r.started))
+		}
+	}
+}
+
+// again tries another target after a failure. A request that must not run twice
+// is sent again only if no target can have run it.
+func (r *run) again(p *part) bool {
+	if !r.route.Idempotent() && p.mayRun > 0 {
+		return false
+	}
+	if !r.attempt(p, 0, r.clock.Now()) {
+		return false
+	}
+	meter.Count("query.retried."+string(p.calls[len(p.calls)-2].Outcome()), 1)
+	return true
+}
+
+func (r *run) hedgeSingle(p *part, now time.Time) {
+	if !r.route.Idempotent() || len(p.calls) > 1 || now.Before(p.tried.Add(r.hedgeAfter)) {
+		return
+	}
+	if _, sent := p.group.SentAt(p.calls[0]); sent && r.attempt(p, 0, now) {
+		meter.Count("query.hedged", 1)
+	}
+}
+
+func (r *run) nextHedge(p *part, now time.Time) time.Time {
+	if !r.route.Idempotent() || len(p.calls) > 1 {
+		return r.end
+	}
+	t := p.tried.Add(r.hedgeAfter)
+	if !t.After(now) {
+		t = now.Add(recheck)
+	}
+	if t.After(r.end) {
+		return r.end
+	}
+	return t
+}
+
+// relay returns the answer of a target.
+func (r *run) relay(p *part, c *target.Call) Answer {
+	return Answer{response: c.Response(), release: func() { p.group.Abandon(c, false) }}
+}
+
+// lost explains the end of all attempts without an answer.
+func (r *run) lost(p *part) Answer {
+	last := p.calls[len(p.calls)-1]
+	if p.mayRun == 0 {
+		return refuse(refusal.Overloaded, retryDelay(), "targets of %s refused the request: %s", p.service, last.Outcome())
+	}
+	return refuse(refusal.SearcherFailed, 0, "connection to %s ended: %s", last.TargetID(), last.Reason())
+}
+
+// overdue answers a request whose time is over. It is known not to have run if
+// every call was refused or never sent.
+func (r *run) overdue(p *part) Answer {
+	unsent := 0
+	for _, c := range p.calls {
+		if p.group.Withdraw(c) {
+			unsent++
+		}
+	}
+	if unsent+p.refused == len(p.calls) {
+		return refuse(refusal.Overloaded, 0, "no target of %s had room in time", p.service)
+	}
+	return refuse(refusal.Deadline, 0, "no target of %s answered in time", p.service)
+}
--- /dev/null
+++ b/route/route.go
@@ -0,0 +1,94 @@
+package route
+
+import (
+	"math"
+	"time"
+)
+
+// Route tells how the requests of one host and path prefix are served. It is
+// immutable but for the state that divides its traffic among services.
+type Route struct {
+	name        string
+	host        string
+	prefix      string
+	idempotent  bool
+	timeout     time.Duration
+	objective   time.Duration
+	priority    int
+	maxTargets  int
+	shards      []string
+	topRecords  int
+	minCoverage float64
+	regions     []string
+	split       *split
+}
+
+// New returns a route for the paths of host that begin with prefix.
+func New(name, host, prefix string, opts ...Option) *Route {
+	r := &Route{name: name, host: host, prefix: prefix, maxTargets: 1}
+	for _, o := range opts {
+		o(r)
+	}
+	return r
+}
+
+// Name returns the name of the route.
+func (r *Route) Name() string { return r.name }
+
+// Idempotent reports whether a request may run more than once.
+func (r *Route) Idempotent() bool { return r.idempotent }
+
+// Timeout returns how long a caller is kept waiting at most.
+func (r *Route) Timeout() time.Duration { return r.timeout }
+
+// Objective returns the time within which an answer has its full value, from
+// the caller's first attempt.
+func (r *Route) Objective() time.Duration { return r.objective }
+
+// Priority returns the rank of the route; 0 is the most urgent.
+func (r *Route) Priority() int { return r.priority }
+
+// MaxTargets returns on how many targets of a service one request may run.
+func (r *Route) MaxTargets() int { return r.maxTargets }
+
+// Sharded reports whether a request is sent to all shards and the parts merged.
+func (r *Route) Sharded() bool { return len(r.shards) > 0 }
+
+// Shards returns the services that hold a part of the index each.
+func (r *Route) Shards() []string { return r.shards }
+
+// TopRecords returns how many records a merged answer holds at most.
+func (r *Route) TopRecords() int { return r.topRecords }
+
+// MinShards returns how many parts a merged answer needs to be a success.
+func (r *Route) MinShards() int {
+	// The product of a fraction such as 0.95 and a count may lie a rounding
+	// error above the whole number that is meant.
+	const rounding = 1e-9
+	return max(1, int(math.Ceil(r.minCoverage*float64(len(r.shards))-rounding)))
+}
+
+// AllowsRegion reports whether targets of that region may serve the route.
+func (r *Route) AllowsRegion(region string) bool {
+	if len(r.regions) == 0 {
+		return true
+	}
+	for _, allowed := range r.regions {
+		if allowed == region {
+			return true
+		}
+	}
+	return false
+}
+
+// NextService returns the service for the next request of a route that is not
+// sharded. Successive calls follow the weights of the route's services.
+func (r *Route) NextService() string { return r.split.next() }
+
+// Services returns the names of all services that the route may use.
+func (r *Route) Services() []string {
+	if r.Sharded() {
+		return r.shards
+	}
+	return r.split.names()
+}
--- /dev/null
+++ b/route/service.go
@@ -0,0 +1,32 @@
+package route
+
+import "time"
+
+// Service is a group of targets that answer the same requests, such as one
+// shard of an index.
+type Service struct {
+	name           string
+	maxConnections int
+	warmUp         time.Duration
+	warmUpRate     float64
+}
+
+// NewService returns a service whose targets accept maxConnections connections
+// each, from all daemons together. A target is cold for warmUp after its start
+// and then bears warmUpRate requests a second; 0 means no limit.
+func NewService(name string, maxConnections int, warmUp time.Duration, warmUpRate float64) *Service {
+	return &Service{name: name, maxConnections: maxConnections, warmUp: warmUp, warmUpRate: warmUpRate}
+}
+
+// Name returns the name of the service.
+func (s *Service) Name() string { return s.name }
+
+// MaxConnections returns how many connections a target accepts from all daemons.
+func (s *Service) MaxConnections() int { return s.maxConnections }
+
+// WarmUp returns how long a target is cold after its start.
+func (s *Service) WarmUp() time.Duration { return s.warmUp }
+
+// WarmUpRate returns how many requests a second a cold target bears, over all
+// daemons; 0 means no limit.
+func (s *Service) WarmUpRate() float64 { return s.warmUpRate }
--- /dev/null
+++ b/route/table.go
@@ -0,0 +1,71 @@
+package route
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+)
+
+// Table is one version of the configuration. It is immutable.
+type Table struct {
+	version  uint64
+	limits   Limits
+	hosts    map[string][]*Route
+	services map[string]*Service
+}
+
+// NewTable returns the configuration of that version.
+func NewTable(version uint64, routes []*Route, services []*Service, limits Limits) *Table {
+	t := &Table{
+		version:  version,
+		limits:   limits,
+		hosts:    make(map[string][]*Route),
+		services: make(map[string]*Service, len(services)),
+	}
+	for _, r := range routes {
+		t.hosts[r.host] = append(t.hosts[r.host], r)
+	}
+	for _, rs := range t.hosts {
+		// The longest prefix comes first, so the first match is the right one.
+		slices.SortStableFunc(rs, func(a, b *Route) int { return cmp.Compare(len(b.prefix), len(a.prefix)) })
+	}
+	for _, s := range services {
+		t.services[s.name] = s
+	}
+	return t
+}
+
+// Version returns the version of the configuration.
+func (t *Table) Version() uint64 { return t.version }
+
+// Limits returns the limits on what callers send.
+func (t *Table) Limits() Limits { return t.limits }
+
+// Service returns a service by its name, or nil.
+func (t *Table) Service(name string) *Service { return t.services[name] }
+
+// Services returns all services by name.
+func (t *Table) Services() map[string]*Service { return t.services }
+
+// Match returns the route of host with the longest prefix of path, or nil.
+func (t *Table) Match(host, path string) *Route {
+	for _, r := range t.hosts[host] {
+		if strings.HasPrefix(path, r.prefix) {
+			return r
+		}
+	}
+	return nil
+}
+
+// Used returns the names of the services that some route uses.
+func (t *Table) Used() map[string]bool {
+	used := make(map[string]bool)
+	for _, rs := range t.hosts {
+		for _, r := range rs {
+			for _, s := range r.Services() {
+				used[s] = true
+			}
+		}
+	}
+	return used
+}
