--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -114,9 +114,9 @@
 	}
 	k.known = true
 	k.cursor = max(k.cursor, at)
-	k.apply(events, at)
+	changed := k.apply(events, at)
 	m.mu.Unlock()
-	if first || len(events) > 0 {
+	if first || changed {
 		m.changed(name)
 	}
 }
@@ -125,28 +125,27 @@
 func (m *Mirror) Apply(name string, events []Event, at uint64) {
 	m.mu.Lock()
 	k := m.kinds[name]
-	fresh := events[:0:0]
-	for _, e := range events {
-		old, ok := k.objects[e.object.name]
-		if ok && e.object.revision < old.revision || e.deleted && !ok || !e.deleted && ok && old.equal(e.object) {
-			continue // Another source was faster.
-		}
-		fresh = append(fresh, e)
-	}
 	k.cursor = max(k.cursor, at)
-	k.apply(fresh, at)
+	changed := k.apply(events, at)
 	m.mu.Unlock()
-	if len(fresh) > 0 {
+	if changed {
 		m.changed(name)
 	}
 }
 
-func (k *kind) apply(events []Event, at uint64) {
-	if len(events) == 0 {
-		return
-	}
-	k.version = max(k.version, at)
+// apply takes in events up to the store's revision at and reports whether any
+// of them changed something.
+func (k *kind) apply(events []Event, at uint64) bool {
+	changed := false
 	for _, e := range events {
+		// Each event is compared with what the ones before it left.
+		if !k.changes(e) {
+			continue
+		}
+		if !changed {
+			changed = true
+			k.version = max(k.version, at)
+		}
 		if e.deleted {
 			delete(k.objects, e.object.name)
 		} else {
@@ -159,6 +158,21 @@
 		k.logFrom = k.log[over-1].version
 		k.log = slices.Delete(k.log, 0, over)
 	}
+	return changed
+}
+
+// changes reports whether an event tells something new. Another source may have
+// told it already.
+func (k *kind) changes(e Event) bool {
+	old, ok := k.objects[e.object.name]
+	switch {
+	case ok && e.object.revision < old.revision:
+		return false
+	case e.deleted:
+		return ok
+	default:
+		return !ok || !old.equal(e.object)
+	}
 }
 
 // Changes is what a daemon lacks of one kind.
