target, query: find room below the cap after a restart; hedge earlier

Over half of the requests met a paused target and waited 2.2 usual latencies. Ruled out: slow start of daemons (in service 20 ms after the start).

--- a/query/gather.go
+++ b/query/gather.go
@@ -36,7 +36,7 @@
 	now := r.clock.Now()
 	for i, p := range parts {
 		if p.group != nil {
-			r.attempt(p, i, now)
+			r.attempt(p, i, now, false)
 		}
 	}
 	callerLeft := true
@@ -90,7 +90,10 @@
 	if p.answer != nil || p.open > 0 {
 		return
 	}
-	if r.attempt(p, c.Tag(), r.clock.Now()) {
+	if c.Outcome() == target.NotSent {
+		return // The next check tries again, when a target may accept connections.
+	}
+	if r.attempt(p, c.Tag(), r.clock.Now(), false) {
 		meter.Count("query.retried."+string(c.Outcome()), 1)
 	}
 }
@@ -104,17 +107,17 @@
 		}
 		if p.open == 0 {
 			if now.Sub(p.tried) >= recheck {
-				r.attempt(p, i, now)
+				r.attempt(p, i, now, false)
 			}
 			continue
 		}
-		if len(p.calls) > 1 || now.Before(r.hedgeTime(p)) {
+		if p.open > 1 || now.Before(r.hedgeTime(p)) {
 			continue
 		}
-		if _, sent := p.group.SentAt(p.calls[0]); !sent {
+		if _, sent := p.group.SentAt(p.calls[len(p.calls)-1]); !sent {
 			continue
 		}
-		if r.attempt(p, i, now) {
+		if r.attempt(p, i, now, true) {
 			meter.Count("query.hedged", 1)
 		}
 	}
@@ -130,7 +133,7 @@
 			continue
 		}
 		t := now.Add(recheck)
-		if p.open > 0 && len(p.calls) == 1 {
+		if p.open == 1 && p.mayRun < r.route.MaxTargets() {
 			t = r.hedgeTime(p)
 			if !t.After(now) {
 				t = now.Add(recheck) // The budget was spent, or the call waits.
--- a/query/run.go
+++ b/query/run.go
@@ -37,21 +37,30 @@
 // maxRefused bounds the sends of one part that targets refuse.
 const maxRefused = 2
 
-// attempt sends the part to another target. Extra is false for the first send.
-func (r *run) attempt(p *part, tag int, now time.Time) bool {
-	extra := len(p.calls) > 0
+// attempt sends the part to another target. A hedge runs beside an earlier call.
+func (r *run) attempt(p *part, tag int, now time.Time, hedge bool) bool {
 	if p.mayRun >= r.route.MaxTargets() || p.refused > maxRefused {
 		return false
 	}
+	purpose := target.First
+	switch {
+	case hedge:
+		purpose = target.Hedge
+	case p.mayRun+p.refused > 0:
+		purpose = target.Retry
+	}
 	avoid := p.calls
-	if n := len(p.calls); n > 0 && p.refused == n {
+	if n := len(p.calls); n > 0 && p.mayRun == 0 {
 		avoid = p.calls[n-1:] // A target that refused earlier may have room by now.
+		if p.calls[n-1].Outcome() == target.NotSent {
+			avoid = nil
+		}
 	}
 	c := target.NewCall(r.send, r.habit.pace, r.results,
-		target.Tag(tag), target.Rank(r.route.Priority()), target.After(avoid...),
+		target.Tag(tag), target.Rank(r.route.Priority()), target.After(avoid...), target.For(purpose),
 		target.Allow(func(e target.Entry) bool { return r.allow(r.route, e) }))
 	p.tried = now
-	if !p.group.Submit(c, extra) {
+	if len(p.calls) >= maxSends || !p.group.Submit(c) {
 		return false
 	}
 	p.calls = append(p.calls, c)
@@ -71,6 +80,8 @@
 		}
 	case o == target.Failed:
 		p.failure = c
+	case o == target.NotSent:
+		p.mayRun--
 	case !o.MayHaveRun():
 		p.mayRun--
 		p.refused++
--- a/query/schedule.go
+++ b/query/schedule.go
@@ -8,14 +8,15 @@
 
 const (
 	// hedgeFactor is after how many usual latencies a request goes to a second
-	// target. Fewer than 2% of the answers of a target that is neither slow nor
+	// target. About 5% of the answers of a target that is neither slow nor
 	// paused take longer.
-	hedgeFactor = 2.2
-	// hedgeFloor covers the way to a target in another failure domain and back.
-	hedgeFloor = 4 * time.Millisecond
-	// wayMargin covers the way of an answer to the caller, and the caller's new
-	// connection, at the longest distance of 3 ms one way.
-	wayMargin = 8 * time.Millisecond
+	hedgeFactor = 1.8
+	// hedgeFloor is the least difference that is not due to the network.
+	hedgeFloor = time.Millisecond
+	// wayMargin covers the way of an answer to the caller, and the caller's
+	// question for addresses and new connection, at the longest distance of 3 ms
+	// one way.
+	wayMargin = 10 * time.Millisecond
 	// workMargin is the part of the objective kept for merging and writing.
 	workMargin = 0.05
 	// endMargin is how long before the caller leaves its final answer is given.
--- a/query/single.go
+++ b/query/single.go
@@ -15,7 +15,7 @@
 	p := &part{service: service, group: r.group(service)}
 	r.results = make(chan *target.Call, maxSends)
 	now := r.clock.Now()
-	if p.group == nil || !r.attempt(p, 0, now) {
+	if p.group == nil || !r.attempt(p, 0, now, false) {
 		return refuse(refusal.NoSearcher, retryDelay(), "no target of %s accepts the request", service)
 	}
 	var kept *target.Call
@@ -59,7 +59,7 @@
 	if !r.route.Idempotent() && p.mayRun > 0 {
 		return false
 	}
-	if !r.attempt(p, 0, r.clock.Now()) {
+	if !r.attempt(p, 0, r.clock.Now(), false) {
 		return false
 	}
 	meter.Count("query.retried."+string(p.calls[len(p.calls)-2].Outcome()), 1)
@@ -67,16 +67,16 @@
 }
 
 func (r *run) hedgeSingle(p *part, now time.Time) {
-	if !r.route.Idempotent() || len(p.calls) > 1 || now.Before(p.tried.Add(r.hedgeAfter)) {
+	if !r.route.Idempotent() || p.open != 1 || now.Before(p.tried.Add(r.hedgeAfter)) {
 		return
 	}
-	if _, sent := p.group.SentAt(p.calls[0]); sent && r.attempt(p, 0, now) {
+	if _, sent := p.group.SentAt(p.calls[len(p.calls)-1]); sent && r.attempt(p, 0, now, true) {
 		meter.Count("query.hedged", 1)
 	}
 }
 
 func (r *run) nextHedge(p *part, now time.Time) time.Time {
-	if !r.route.Idempotent() || len(p.calls) > 1 {
+	if !r.route.Idempotent() || p.mayRun >= r.route.MaxTargets() {
 		return r.end
 	}
 	t := p.tried.Add(r.hedgeAfter)
@@ -112,7 +112,7 @@
 			unsent++
 		}
 	}
-	if unsent+p.refused == len(p.calls) {
+	if p.mayRun == unsent {
 		return refuse(refusal.Overloaded, 0, "no target of %s had room in time", p.service)
 	}
 	return refuse(refusal.Deadline, 0, "no target of %s answered in time", p.service)
--- a/standin/shards/target.go
+++ b/standin/shards/target.go
@@ -39,8 +39,11 @@
 )
 
 func newTarget(id, address string, b Behaviour, seed int64) *Target {
+	rng := rand.New(rand.NewSource(seed))
+	// Each target pauses at its own time.
+	started := time.Now().Add(-time.Duration(rng.Int63n(int64(time.Hour))))
 	return &Target{
-		id: id, address: address, b: b, rng: rand.New(rand.NewSource(seed)), started: time.Now(),
+		id: id, address: address, b: b, rng: rng, started: started,
 		conns: make(map[net.Conn]struct{}), free: make(chan struct{}, b.slots), ran: make(map[string]int),
 	}
 }
