fleet, node, mirror: a bounded set of daemons serves callers, the others stand by

Change: fleet.Select names the strong VMs of each failure domain, two or more; only these are named to callers, connect ahead and send heartbeats. Daemons learn the registry and the state of the store from the seeds at their start.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -22,37 +22,37 @@
 	// lostAfter is the silence after which a daemon counts as lost: four
 	// heartbeats, as single datagrams are lost.
 	lostAfter = 1250 * time.Millisecond
-	// forgetAfter is the silence after which no heartbeats are sent to a daemon.
+	// forgetAfter is the silence after which a daemon is forgotten.
 	forgetAfter = 60 * time.Second
-	// countFor is how long a lost daemon still counts in the division of limits,
-	// because it may only be cut off from this one.
-	countFor = 10 * time.Second
 	// maxDatagram is the size of the receive buffer; a heartbeat takes about 200
 	// bytes.
 	maxDatagram = 8 << 10
 )
 
+// LostAfter is the silence after which a daemon that sends heartbeats counts as
+// lost.
+const LostAfter = lostAfter
+
 // Fleet exchanges heartbeats with the other daemons.
 type Fleet struct {
-	clock   clock.Clock
-	log     zerolog.Logger
-	conn    net.PacketConn
-	self    func() *mirrorpb.Heartbeat
-	changed func(Member)
+	clock      clock.Clock
+	log        zerolog.Logger
+	conn       net.PacketConn
+	self       func() *mirrorpb.Heartbeat
+	recipients func(round int) []string
+	heard      func(Member)
 
 	mu      sync.Mutex
-	members map[string]*member
+	members map[string]*member // By peer address.
+	addrs   map[string]*net.UDPAddr
 	wg      sync.WaitGroup
 	stop    context.CancelFunc
 }
 
-// member is what is known of one address.
+// member is a daemon that was heard.
 type member struct {
 	Member
-	addr  *net.UDPAddr
-	known bool // A heartbeat was received.
-	lost  bool
-	added time.Time
+	lost bool
 }
 
 // Option sets one property of a Fleet.
@@ -65,14 +65,20 @@
 func Log(l zerolog.Logger) Option { return func(f *Fleet) { f.log = l } }
 
 // OnHeartbeat sets what is called with each received heartbeat. It must not block.
-func OnHeartbeat(fn func(Member)) Option { return func(f *Fleet) { f.changed = fn } }
+func OnHeartbeat(fn func(Member)) Option { return func(f *Fleet) { f.heard = fn } }
+
+// Recipients sets to which peer addresses the heartbeats of a round go.
+func Recipients(fn func(round int) []string) Option {
+	return func(f *Fleet) { f.recipients = fn }
+}
 
 // New returns a fleet that exchanges heartbeats over conn. Self describes this
 // daemon.
 func New(conn net.PacketConn, self func() *mirrorpb.Heartbeat, opts ...Option) *Fleet {
 	f := &Fleet{
 		clock: clock.System{}, log: zerolog.Nop(), conn: conn, self: self,
-		changed: func(Member) {}, members: make(map[string]*member),
+		recipients: func(int) []string { return nil },
+		heard:      func(Member) {}, members: make(map[string]*member), addrs: make(map[string]*net.UDPAddr),
 	}
 	for _, o := range opts {
 		o(f)
@@ -91,8 +97,9 @@
 	}()
 	go func() {
 		defer f.wg.Done()
-		for clock.Sleep(ctx, f.clock, beatEvery) == nil {
-			f.Beat()
+		for round := 0; clock.Sleep(ctx, f.clock, beatEvery) == nil; round++ {
+			f.expire()
+			f.Beat(round)
 		}
 	}()
 }
@@ -105,88 +112,76 @@
 	return err
 }
 
-// Add makes the daemon at a peer address known, for example from the store.
-func (f *Fleet) Add(address string) {
-	addr, err := net.ResolveUDPAddr("udp4", address)
-	if err != nil {
-		f.log.Warn().Err(err).Str("address", address).Msg("address of another daemon cannot be used")
-		return
-	}
-	if addr.String() == f.conn.LocalAddr().String() {
-		return
-	}
-	f.mu.Lock()
-	_, known := f.members[addr.String()]
-	if !known {
-		f.members[addr.String()] = &member{addr: addr, added: f.clock.Now()}
-	}
-	f.mu.Unlock()
-	if !known {
-		f.send(addr, true)
+// Hello asks the daemon at a peer address for a heartbeat.
+func (f *Fleet) Hello(address string) {
+	h := f.self()
+	h.Reply = true
+	f.send(h, address)
+}
+
+// Beat sends a heartbeat to the recipients of a round now.
+func (f *Fleet) Beat(round int) {
+	if to := f.recipients(round); len(to) > 0 {
+		f.send(f.self(), to...)
 	}
 }
 
-// Beat sends a heartbeat to all daemons now.
-func (f *Fleet) Beat() {
+// expire notes which daemons have fallen silent.
+func (f *Fleet) expire() {
 	f.mu.Lock()
+	defer f.mu.Unlock()
 	now := f.clock.Now()
-	addrs := make([]*net.UDPAddr, 0, len(f.members))
 	for key, m := range f.members {
-		seen := m.heard
-		if !m.known {
-			seen = m.added
+		silence := now.Sub(m.heard)
+		if !m.lost && silence > lostAfter {
+			m.lost = true
+			f.log.Warn().Str("member", m.name).Dur("silent_for", silence).Msg("daemon lost")
 		}
-		if now.Sub(seen) > forgetAfter {
+		if silence > forgetAfter {
 			delete(f.members, key)
-			continue
 		}
-		if m.known && !m.lost && now.Sub(m.heard) > lostAfter {
-			m.lost = true
-			f.log.Warn().Str("member", m.name).Dur("silent_for", now.Sub(m.heard)).Msg("daemon lost")
-		}
-		addrs = append(addrs, m.addr)
 	}
-	f.mu.Unlock()
-	f.sendAll(addrs)
 }
 
-func (f *Fleet) sendAll(addrs []*net.UDPAddr) {
-	if len(addrs) == 0 {
-		return
-	}
-	b, err := proto.Marshal(f.self())
+func (f *Fleet) send(h *mirrorpb.Heartbeat, to ...string) {
+	b, err := proto.Marshal(h)
 	if err != nil {
 		f.log.Error().Err(err).Msg("heartbeat cannot be encoded")
 		return
 	}
-	for _, a := range addrs {
-		f.write(b, a)
+	for _, address := range to {
+		if address == h.GetPeer() {
+			continue
+		}
+		addr, err := f.resolve(address)
+		if err != nil {
+			f.log.Warn().Err(err).Str("address", address).Msg("address of another daemon cannot be used")
+			continue
+		}
+		// A failure is only counted, because the next heartbeat follows soon.
+		if _, err := f.conn.WriteTo(b, addr); err != nil {
+			meter.Count("fleet.send_failed", 1)
+		}
 	}
 }
 
-func (f *Fleet) send(addr *net.UDPAddr, wantReply bool) {
-	h := f.self()
-	h.Reply = wantReply
-	b, err := proto.Marshal(h)
-	if err != nil {
-		f.log.Error().Err(err).Msg("heartbeat cannot be encoded")
-		return
+func (f *Fleet) resolve(address string) (*net.UDPAddr, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if a := f.addrs[address]; a != nil {
+		return a, nil
 	}
-	f.write(b, addr)
-}
-
-// write sends one datagram. A failure is only counted, because the next
-// heartbeat follows soon.
-func (f *Fleet) write(b []byte, addr *net.UDPAddr) {
-	if _, err := f.conn.WriteTo(b, addr); err != nil {
-		meter.Count("fleet.send_failed", 1)
+	a, err := net.ResolveUDPAddr("udp4", address)
+	if err == nil {
+		f.addrs[address] = a
 	}
+	return a, err
 }
 
 func (f *Fleet) receive() {
 	buf := make([]byte, maxDatagram)
 	for {
-		n, from, err := f.conn.ReadFrom(buf)
+		n, _, err := f.conn.ReadFrom(buf)
 		if err != nil {
 			return // Closed.
 		}
@@ -195,15 +190,11 @@
 			meter.Count("fleet.received_malformed", 1)
 			continue
 		}
-		f.take(h, from)
+		f.take(h)
 	}
 }
 
-func (f *Fleet) take(h *mirrorpb.Heartbeat, from net.Addr) {
-	udp, ok := from.(*net.UDPAddr)
-	if !ok {
-		return
-	}
+func (f *Fleet) take(h *mirrorpb.Heartbeat) {
 	m := Member{
 		name: h.GetName(), incarnation: h.GetIncarnation(), zone: h.GetZone(), front: h.GetFront(),
 		peer: h.GetPeer(), leaving: h.GetLeaving(), serving: h.GetServing(),
@@ -211,47 +202,46 @@
 		versions: h.GetVersions(), heard: f.clock.Now(),
 	}
 	f.mu.Lock()
-	known := f.members[udp.String()]
-	if known == nil {
-		known = &member{addr: udp, added: m.heard}
-		f.members[udp.String()] = known
-	}
-	if !known.known || known.lost || known.incarnation != m.incarnation {
+	known := f.members[m.peer]
+	if known == nil || known.lost || known.incarnation != m.incarnation {
 		f.log.Info().Str("member", m.name).Str("zone", m.zone).Msg("daemon found")
 	}
-	known.Member, known.known, known.lost = m, true, false
+	f.members[m.peer] = &member{Member: m}
 	f.mu.Unlock()
 	if h.GetReply() {
-		f.send(udp, false)
+		f.send(f.self(), m.peer)
 	}
-	f.changed(m)
+	f.heard(m)
 }
 
 // Alive returns the daemons that were heard lately, ordered by name.
-func (f *Fleet) Alive() []Member {
+func (f *Fleet) Alive() []Member { return f.heardWithin(lostAfter) }
+
+// Known returns the daemons that were heard at all and are not forgotten yet,
+// ordered by name.
+func (f *Fleet) Known() []Member { return f.heardWithin(forgetAfter) }
+
+func (f *Fleet) heardWithin(d time.Duration) []Member {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.clock.Now()
-	var alive []Member
+	var list []Member
 	for _, m := range f.members {
-		if m.known && now.Sub(m.heard) <= lostAfter {
-			alive = append(alive, m.Member)
+		if now.Sub(m.heard) <= d {
+			list = append(list, m.Member)
 		}
 	}
-	slices.SortFunc(alive, func(a, b Member) int { return cmp.Compare(a.name, b.name) })
-	return alive
+	slices.SortFunc(list, func(a, b Member) int { return cmp.Compare(a.name, b.name) })
+	return list
 }
 
-// Size returns how many daemons share the limits, this one included.
-func (f *Fleet) Size() int {
+// Heard returns when the daemon at a peer address was last heard; zero means
+// never.
+func (f *Fleet) Heard(peer string) time.Time {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	now := f.clock.Now()
-	n := 1
-	for _, m := range f.members {
-		if m.known && now.Sub(m.heard) < countFor || !m.known && now.Sub(m.added) < countFor {
-			n++
-		}
+	if m := f.members[peer]; m != nil {
+		return m.heard
 	}
-	return n
+	return time.Time{}
 }
--- a/mirror/follower.go
+++ b/mirror/follower.go
@@ -17,11 +17,14 @@
 	// callTimeout is long against a store that answers in milliseconds, and
 	// short against the seconds within which a change must be in force.
 	callTimeout = 900 * time.Millisecond
-	// watchWait is how long a watch waits for a change. A watch that has gone
-	// silent is given up after this time.
-	watchWait = 4 * time.Second
+	// maxWait is how long a watch waits for a change at most. One that has gone
+	// silent is found by the connection's probes before.
+	maxWait = 10 * time.Second
 	// pingEvery is how often a daemon that watches proves its contact.
 	pingEvery = 600 * time.Millisecond
+	// standbyPings is after how many turns a daemon that stands by tries a store
+	// that does not answer.
+	standbyPings = 4
 	// firstDelay and lastDelay bound the pause after a failed call.
 	firstDelay = 100 * time.Millisecond
 	lastDelay  = time.Second
@@ -46,6 +49,8 @@
 
 	contact   atomic.Int64 // Boot time of the last answer, in nanoseconds.
 	connected atomic.Bool
+	standby   func() bool
+	skipped   int          // Pings left out; only the pinging goroutine uses it.
 	regained  atomic.Int64 // Boot time of the end of the last loss of contact.
 	wg        sync.WaitGroup
 }
@@ -62,8 +67,9 @@
 
 // NewFollower returns a follower. Elect reports whether this daemon is to watch
 // the store now; otherwise it relies on its neighbours.
-func NewFollower(m *Mirror, s Store, c clock.Clock, l zerolog.Logger, elect func() bool) *Follower {
-	return &Follower{mirror: m, store: s, clock: c, log: l, elect: elect}
+// Standby reports whether other daemons do not rely on this one.
+func NewFollower(m *Mirror, s Store, c clock.Clock, l zerolog.Logger, elect, standby func() bool) *Follower {
+	return &Follower{mirror: m, store: s, clock: c, log: l, elect: elect, standby: standby}
 }
 
 // Run follows the kinds until ctx ends.
@@ -103,7 +109,8 @@
 	var listed time.Duration
 	fresh := false
 	for ctx.Err() == nil {
-		if f.mirror.Known(k.name) && !f.elect() {
+		// While the store does not answer, only the pings try it.
+		if f.mirror.Known(k.name) && (!f.elect() || !f.connected.Load()) {
 			fresh = false
 			_ = clock.Sleep(ctx, f.clock, idleCheck) // Ends early only with ctx.
 			continue
@@ -113,7 +120,7 @@
 			err = f.list(ctx, k.name)
 			fresh, listed = err == nil, f.clock.Boot()
 		} else {
-			err = f.watch(ctx, k.name, min(watchWait, k.reread))
+			err = f.watch(ctx, k.name, min(maxWait, k.reread))
 			fresh = err == nil
 		}
 		f.note(err)
@@ -157,7 +164,7 @@
 // ping proves the contact while this daemon watches.
 func (f *Follower) ping(ctx context.Context) {
 	for clock.Sleep(ctx, f.clock, pingEvery) == nil {
-		if f.StoreAge() < pingEvery || !f.elect() {
+		if f.StoreAge() < pingEvery || !f.elect() || !f.due() {
 			continue
 		}
 		call, cancel := clock.WithDeadline(ctx, f.clock, f.clock.Boot()+callTimeout)
@@ -167,6 +174,16 @@
 	}
 }
 
+// due reports whether to ping now. A daemon that lost contact pings seldom
+// unless others rely on it.
+func (f *Follower) due() bool {
+	if f.connected.Load() || !f.standby() {
+		return true
+	}
+	f.skipped++
+	return f.skipped%standbyPings == 0
+}
+
 // note keeps the time of the last contact and logs its loss and return.
 func (f *Follower) note(err error) {
 	now := f.clock.Boot()
--- a/node/apply.go
+++ b/node/apply.go
@@ -21,6 +21,7 @@
 func (d *Daemon) apply() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.serving.register(platform.DecodeDaemons(d.mirror.Objects(platform.KindDaemons)))
 	d.applyConfig()
 	if d.table == nil {
 		return
@@ -53,7 +54,7 @@
 			g.Update(nil) // Requests under way are still answered.
 		}
 	}
-	d.groups, d.table = groups, t
+	d.groups, d.table, d.used = groups, t, t.Used()
 	d.resizeGroups()
 	d.updateGroups(d.clock.Now())
 	d.engine.Install(t, maps.Clone(groups))
@@ -103,11 +104,11 @@
 }
 
 func (d *Daemon) resizeGroups() {
-	n := d.fleet.Size()
-	used := d.table.Used()
+	n := d.serving.size()
+	serves := d.serving.includesSelf()
 	budget := target.NewBudgetLimits(d.settings.ExtraRatio(), d.settings.ExtraSlack(), n)
 	for name, g := range d.groups {
-		g.Resize(sizing(d.table.Service(name), n, budget, used[name]))
+		g.Resize(sizing(d.table.Service(name), n, budget, d.used[name] && serves))
 	}
 }
 
--- a/node/daemon.go
+++ b/node/daemon.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -28,7 +29,7 @@
 const (
 	// configReread, targetsReread and ordersReread bound the time for which a
 	// watch that misses changes is believed.
-	configReread  = 2 * time.Second
+	configReread  = 3 * time.Second
 	targetsReread = 8 * time.Second
 	ordersReread  = 10 * time.Second
 	// fetchTimeout bounds one call to a neighbour.
@@ -39,6 +40,16 @@
 	registerDelay = 500 * time.Millisecond
 	// peerProbeIdle finds connections between daemons that have gone silent.
 	peerProbeIdle = time.Second
+	// seedWait is how long a daemon waits for others to tell it what the store
+	// holds; they start within 300 ms of one another.
+	seedWait = 450 * time.Millisecond
+	// seedCheck is how often it looks.
+	seedCheck = 25 * time.Millisecond
+	// notifyEvery is the least time between two notices of changes.
+	notifyEvery = 100 * time.Millisecond
+	// standbyFetch is the least time between two fetches of a daemon that stands
+	// by.
+	standbyFetch = 600 * time.Millisecond
 	// callerHeaderTimeout bounds the sending of a request's header.
 	callerHeaderTimeout = 10 * time.Second
 	// callerIdle is above the idle times that configurations permit.
@@ -55,6 +66,7 @@
 	mirror   *mirror.Mirror
 	follower *mirror.Follower
 	fleet    *fleet.Fleet
+	serving  *serving
 	engine   *query.Engine
 	peers    *http.Client
 
@@ -67,6 +79,7 @@
 	roster   *roster
 	groups   map[string]*target.Group
 	table    *route.Table
+	used     map[string]bool // Services that some route of the table uses.
 	expiry   clock.Timer
 	wg       sync.WaitGroup
 	servers  []*http.Server
@@ -112,8 +125,9 @@
 			DisableCompression: true,
 		}},
 	}
-	d.mirror = mirror.New(d.changed, platform.KindConfig, platform.KindTargets, platform.KindMoves, platform.KindEvacuations)
-	d.follower = mirror.NewFollower(d.mirror, d.store.Reader(), c, l, d.watches)
+	d.mirror = mirror.New(d.changed, platform.KindConfig, platform.KindTargets, platform.KindMoves, platform.KindEvacuations, platform.KindDaemons)
+	d.serving = newServing(c, s.Name(), func(peer string) time.Time { return d.fleet.Heard(peer) })
+	d.follower = mirror.NewFollower(d.mirror, d.store.Reader(), c, l, d.watches, func() bool { return !d.serving.includesSelf() })
 	d.engine = query.NewEngine(query.Clock(c), query.Log(l), query.Stamp(platform.Stamp), query.Allow(allowed))
 	return d
 }
@@ -127,7 +141,8 @@
 	if err != nil {
 		return eris.Wrap(err, "listen for heartbeats")
 	}
-	d.fleet = fleet.New(conn, d.describe, fleet.Clock(d.clock), fleet.Log(d.log), fleet.OnHeartbeat(d.heard))
+	d.fleet = fleet.New(conn, d.describe, fleet.Clock(d.clock), fleet.Log(d.log), fleet.OnHeartbeat(d.heard),
+		fleet.Recipients(d.recipients))
 	for _, l := range []struct {
 		address string
 		handler http.Handler
@@ -188,16 +203,11 @@
 
 func (d *Daemon) start(ctx context.Context) {
 	d.fleet.Start()
-	for _, address := range d.seeds() {
-		d.fleet.Add(address)
+	seeds := d.seeds()
+	for _, address := range seeds {
+		d.fleet.Hello(address)
 	}
-	d.goes(func() {
-		d.follower.Run(ctx,
-			mirror.NewKind(platform.KindConfig, configReread),
-			mirror.NewKind(platform.KindTargets, targetsReread),
-			mirror.NewKind(platform.KindMoves, ordersReread),
-			mirror.NewKind(platform.KindEvacuations, ordersReread))
-	})
+	d.goes(func() { d.follow(ctx, slices.Contains(seeds, d.settings.PeerAddress())) })
 	d.goes(func() { d.join(ctx) })
 	d.goes(func() { d.fetch(ctx) })
 	d.goes(func() { d.applyChanges(ctx) })
@@ -208,6 +218,22 @@
 	})
 }
 
+// follow follows the store. A daemon that others start from reads it at once;
+// the others first wait for what these tell them, which spares the store.
+func (d *Daemon) follow(ctx context.Context, seed bool) {
+	for waited := time.Duration(0); !seed && waited < seedWait && !d.mirror.Known(platform.KindTargets); waited += seedCheck {
+		if clock.Sleep(ctx, d.clock, seedCheck) != nil {
+			return
+		}
+	}
+	d.follower.Run(ctx,
+		mirror.NewKind(platform.KindConfig, configReread),
+		mirror.NewKind(platform.KindTargets, targetsReread),
+		mirror.NewKind(platform.KindMoves, ordersReread),
+		mirror.NewKind(platform.KindEvacuations, ordersReread),
+		mirror.NewKind(platform.KindDaemons, ordersReread))
+}
+
 func (d *Daemon) goes(f func()) {
 	d.wg.Add(1)
 	go func() {
@@ -228,20 +254,14 @@
 	return seeds
 }
 
-// join registers the daemon and finds those that are registered.
+// join registers the daemon, so that the others find it.
 func (d *Daemon) join(ctx context.Context) {
+	self := fleet.NewCandidate(d.settings.Name(), d.settings.Zone(), d.settings.PeerAddress(), d.settings.Capacity())
 	for ctx.Err() == nil {
 		call, cancel := context.WithTimeout(ctx, 2*registerDelay)
-		err := d.store.Register(call, d.settings.Name(), d.settings.PeerAddress())
-		var addresses []string
-		if err == nil {
-			addresses, err = d.store.Daemons(call)
-		}
+		err := d.store.Register(call, self)
 		cancel()
 		if err == nil {
-			for _, a := range addresses {
-				d.fleet.Add(a)
-			}
 			return
 		}
 		d.log.Warn().Err(err).Msg("registration in the store failed")
@@ -254,7 +274,7 @@
 	return &mirrorpb.Heartbeat{
 		Name: d.settings.Name(), Incarnation: d.incarnation, Zone: d.settings.Zone(),
 		Front: d.settings.Callers(), Peer: d.settings.PeerAddress(),
-		Leaving: d.leaving.Load(), Serving: d.engine.Table() != nil,
+		Leaving: d.leaving.Load(), Serving: d.able(),
 		StoreAgeMs: uint32(min(d.follower.StoreAge(), time.Hour).Milliseconds()),
 		Versions:   d.mirror.Versions(),
 	}
@@ -264,15 +284,23 @@
 // one delays nothing.
 const watchers = 2
 
-// watches reports whether this daemon is to watch the store: fewer than the
-// wanted number of daemons before it in the order of names do.
+// watches reports whether this daemon is to watch the store. A daemon that
+// serves does so if fewer than the wanted number before it in the order of names
+// do, one that stands by only if no other does.
 func (d *Daemon) watches() bool {
-	before := 0
+	others, before := 0, 0
 	for _, m := range d.fleet.Alive() {
-		if m.Name() < d.settings.Name() && !m.Leaving() && m.StoreAge() < mirror.FreshContact {
+		if m.Leaving() || m.StoreAge() >= mirror.FreshContact {
+			continue
+		}
+		others++
+		if m.Name() < d.settings.Name() {
 			before++
 		}
 	}
+	if !d.serving.includesSelf() {
+		return others == 0
+	}
 	return before < watchers
 }
 
@@ -302,6 +330,9 @@
 				d.log.Warn().Err(err).Str("peer", address).Msg("fetching changes from another daemon failed")
 			}
 			cancel()
+			if !d.serving.includesSelf() {
+				_ = clock.Sleep(ctx, d.clock, standbyFetch) // Ends early only with ctx.
+			}
 		}
 	}
 }
@@ -314,6 +345,8 @@
 	}
 }
 
+// applyChanges puts changes in force. A daemon that watches the store tells the
+// others at once.
 func (d *Daemon) applyChanges(ctx context.Context) {
 	for {
 		select {
@@ -321,7 +354,10 @@
 			return
 		case <-d.changes:
 			d.apply()
-			d.fleet.Beat()
+			if d.watches() {
+				d.fleet.Beat(0)
+				_ = clock.Sleep(ctx, d.clock, notifyEvery) // Ends early only with ctx.
+			}
 		}
 	}
 }
@@ -332,17 +368,66 @@
 // addresses returns the addresses that callers are to use.
 func (d *Daemon) addresses(string) []string {
 	var list []string
-	if d.ready() {
+	if d.ready() && d.serving.includesSelf() && d.able() {
 		list = append(list, d.settings.Callers())
 	}
+	serving := d.serving.names()
+	var standby []string
 	for _, m := range d.fleet.Alive() {
+		switch {
+		case !m.Serving() || m.Leaving():
+		case serving[m.Name()]:
+			list = append(list, m.Front())
+		default:
+			standby = append(standby, m.Front())
+		}
+	}
+	if len(list) > 0 {
+		return list
+	}
+	return d.lastResort(standby)
+}
+
+// lastResort returns addresses when no serving daemon is known to be able to
+// serve. Others that were heard lately come first, because only this daemon may
+// be cut off.
+func (d *Daemon) lastResort(standby []string) []string {
+	if len(standby) > 0 {
+		return standby
+	}
+	var list []string
+	for _, m := range d.fleet.Known() {
 		if m.Serving() && !m.Leaving() {
 			list = append(list, m.Front())
 		}
 	}
+	if d.ready() && (d.able() || len(list) == 0) {
+		list = append([]string{d.settings.Callers()}, list...)
+	}
 	return list
 }
 
+// ableShare is the part of the services in use of which a daemon must reach some
+// target to be named to callers.
+const ableShare = 0.6
+
+// able reports whether this daemon reaches enough targets to serve callers.
+func (d *Daemon) able() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.table == nil {
+		return false
+	}
+	reachable, all := 0, 0
+	for name := range d.used {
+		all++
+		if g := d.groups[name]; g != nil && g.Reachable() {
+			reachable++
+		}
+	}
+	return float64(reachable) >= ableShare*float64(all)
+}
+
 const (
 	// acceptShare is the part of the shutdown time in which new requests are
 	// still accepted, because callers keep addresses for a while.
@@ -357,7 +442,7 @@
 	began := d.clock.Boot()
 	d.leaving.Store(true)
 	d.log.Info().Msg("graceful shutdown begins")
-	d.fleet.Beat()
+	d.fleet.Beat(0)
 	total := d.settings.Shutdown()
 	_ = clock.Sleep(context.Background(), d.clock, time.Duration(acceptShare*float64(total))) // Never ends early.
 	ctx, cancel := clock.WithDeadline(context.Background(), d.clock, began+time.Duration(finishShare*float64(total)))
--- a/node/settings.go
+++ b/node/settings.go
@@ -27,8 +27,9 @@
 		Operators string `yaml:"operators"`
 		Peers     string `yaml:"peers"`
 	} `yaml:"listen"`
-	Peers []string `yaml:"peers"`
-	Store struct {
+	Peers    []string `yaml:"peers"`
+	Capacity float64  `yaml:"capacity"`
+	Store    struct {
 		Address string `yaml:"address"`
 	} `yaml:"store"`
 	AddressTTLMS int64 `yaml:"address_ttl_ms"`
@@ -91,6 +92,9 @@
 			return eris.Errorf("peers[%d]: %q is not an IP address with a port", i, p)
 		}
 	}
+	if f.Capacity < 0 {
+		return eris.New("capacity: must not be negative")
+	}
 	if f.Extra.Ratio < 0 || f.Extra.Slack < 0 {
 		return eris.New("extra_sends: ratio and slack must not be negative")
 	}
@@ -130,6 +134,9 @@
 // Peers returns operators' addresses of other daemons to start from.
 func (s Settings) Peers() []string { return s.file.Peers }
 
+// Capacity returns the VM's part of a core, 0 if it is not known.
+func (s Settings) Capacity() float64 { return s.file.Capacity }
+
 // Store returns the address of the platform's store.
 func (s Settings) Store() string { return s.file.Store.Address }
 
