targets: the package moves out of the build's output directory

Cause: the platform's build places its output under target/, which is ignored by git, so the package of that name was missing from the commits before. Change: package targets.

--- a/node/apply.go
+++ b/node/apply.go
@@ -8,7 +8,7 @@
 
 	"medlaryard.example/medlaryard/platform"
 	"medlaryard.example/medlaryard/route"
-	"medlaryard.example/medlaryard/target"
+	"medlaryard.example/medlaryard/targets"
 )
 
 const (
@@ -41,7 +41,7 @@
 	if t == nil || d.table != nil && t.Version() <= d.table.Version() {
 		return
 	}
-	groups := make(map[string]*target.Group, len(t.Services()))
+	groups := make(map[string]*targets.Group, len(t.Services()))
 	for name := range t.Services() {
 		if g := d.groups[name]; g != nil {
 			groups[name] = g
@@ -61,10 +61,10 @@
 	d.log.Info().Uint64("configuration", t.Version()).Int("services", len(groups)).Msg("configuration in force")
 }
 
-func (d *Daemon) newGroup(service string) *target.Group {
-	return target.NewGroup(service, platform.TargetProtocol(),
-		target.Clock(d.clock), target.Near(d.settings.Zone()), target.Log(d.log),
-		target.Dial(func(ctx context.Context, address string) (net.Conn, error) {
+func (d *Daemon) newGroup(service string) *targets.Group {
+	return targets.NewGroup(service, platform.TargetProtocol(),
+		targets.Clock(d.clock), targets.Near(d.settings.Zone()), targets.Log(d.log),
+		targets.Dial(func(ctx context.Context, address string) (net.Conn, error) {
 			return new(net.Dialer).DialContext(ctx, "tcp4", address)
 		}))
 }
@@ -106,14 +106,14 @@
 func (d *Daemon) resizeGroups() {
 	n := d.serving.size()
 	serves := d.serving.includesSelf()
-	budget := target.NewBudgetLimits(d.settings.ExtraRatio(), d.settings.ExtraSlack(), n)
+	budget := targets.NewBudgetLimits(d.settings.ExtraRatio(), d.settings.ExtraSlack(), n)
 	for name, g := range d.groups {
 		g.Resize(sizing(d.table.Service(name), n, budget, d.used[name] && serves))
 	}
 }
 
 // sizing divides the limits of a service among n daemons.
-func sizing(s *route.Service, n int, b target.BudgetLimits, used bool) target.Sizing {
+func sizing(s *route.Service, n int, b targets.BudgetLimits, used bool) targets.Sizing {
 	share := int(connectionShare * float64(s.MaxConnections()) / float64(n))
-	return target.NewSizing(share, s.WarmUpRate(), b, used)
+	return targets.NewSizing(share, s.WarmUpRate(), b, used)
 }
--- a/node/daemon.go
+++ b/node/daemon.go
@@ -23,7 +23,7 @@
 	"medlaryard.example/medlaryard/platform"
 	"medlaryard.example/medlaryard/query"
 	"medlaryard.example/medlaryard/route"
-	"medlaryard.example/medlaryard/target"
+	"medlaryard.example/medlaryard/targets"
 )
 
 const (
@@ -77,7 +77,7 @@
 
 	mu       sync.Mutex
 	roster   *roster
-	groups   map[string]*target.Group
+	groups   map[string]*targets.Group
 	table    *route.Table
 	used     map[string]bool // Services that some route of the table uses.
 	expiry   clock.Timer
@@ -115,7 +115,7 @@
 		changes:     make(chan struct{}, 1),
 		fetches:     make(chan string, 1),
 		roster:      newRoster(l),
-		groups:      make(map[string]*target.Group),
+		groups:      make(map[string]*targets.Group),
 		failures:    make(chan error, 1),
 		peers: &http.Client{Transport: &http.Transport{
 			DialContext: (&net.Dialer{
@@ -133,7 +133,7 @@
 }
 
 // allowed reports whether a target may serve a route at all.
-func allowed(r *route.Route, e target.Entry) bool { return r.AllowsRegion(e.Region()) }
+func allowed(r *route.Route, e targets.Entry) bool { return r.AllowsRegion(e.Region()) }
 
 // listen opens all listeners before anything else is started.
 func (d *Daemon) listen() error {
--- a/node/roster.go
+++ b/node/roster.go
@@ -6,7 +6,7 @@
 	"github.com/rs/zerolog"
 
 	"medlaryard.example/medlaryard/platform"
-	"medlaryard.example/medlaryard/target"
+	"medlaryard.example/medlaryard/targets"
 )
 
 // linger is how long a target whose entry has vanished is still used. Entries
@@ -23,7 +23,7 @@
 
 // listed is one entry of the roster.
 type listed struct {
-	entry    target.Entry
+	entry    targets.Entry
 	vanished time.Time // When the entry was found missing; zero while it is there.
 }
 
@@ -55,8 +55,8 @@
 
 // entries returns the entries that may get requests by service, and when the
 // next of them expires; zero means that none does.
-func (r *roster) entries(now time.Time, evacuated map[string]bool) (map[string][]target.Entry, time.Time) {
-	byService := make(map[string][]target.Entry)
+func (r *roster) entries(now time.Time, evacuated map[string]bool) (map[string][]targets.Entry, time.Time) {
+	byService := make(map[string][]targets.Entry)
 	var next time.Time
 	for name, l := range r.known {
 		if !l.vanished.IsZero() {
--- a/query/engine.go
+++ b/query/engine.go
@@ -14,7 +14,7 @@
 	"medlaryard.example/medlaryard/meter"
 	"medlaryard.example/medlaryard/refusal"
 	"medlaryard.example/medlaryard/route"
-	"medlaryard.example/medlaryard/target"
+	"medlaryard.example/medlaryard/targets"
 )
 
 // Engine answers requests under the configuration in force.
@@ -22,17 +22,17 @@
 	clock clock.Clock
 	log   zerolog.Logger
 	stamp func(*fasthttp.Response) string
-	allow func(*route.Route, target.Entry) bool
+	allow func(*route.Route, targets.Entry) bool
 
 	table  atomic.Pointer[route.Table]
 	mu     sync.RWMutex
-	groups map[string]*target.Group
+	groups map[string]*targets.Group
 	habits map[string]*habit
 }
 
 // habit is what is known of the requests of one route.
 type habit struct {
-	pace     *target.Pace
+	pace     *targets.Pace
 	patience patienceVote
 }
 
@@ -49,7 +49,7 @@
 func Stamp(f func(*fasthttp.Response) string) Option { return func(e *Engine) { e.stamp = f } }
 
 // Allow sets which targets may serve a route.
-func Allow(f func(*route.Route, target.Entry) bool) Option { return func(e *Engine) { e.allow = f } }
+func Allow(f func(*route.Route, targets.Entry) bool) Option { return func(e *Engine) { e.allow = f } }
 
 // NewEngine returns an engine without a configuration; it refuses all requests
 // until Install is called.
@@ -58,8 +58,8 @@
 		clock:  clock.System{},
 		log:    zerolog.Nop(),
 		stamp:  func(*fasthttp.Response) string { return "" },
-		allow:  func(*route.Route, target.Entry) bool { return true },
-		groups: make(map[string]*target.Group),
+		allow:  func(*route.Route, targets.Entry) bool { return true },
+		groups: make(map[string]*targets.Group),
 		habits: make(map[string]*habit),
 	}
 	for _, o := range opts {
@@ -72,14 +72,14 @@
 func (e *Engine) Table() *route.Table { return e.table.Load() }
 
 // Install puts a configuration and the groups of its services in force.
-func (e *Engine) Install(t *route.Table, groups map[string]*target.Group) {
+func (e *Engine) Install(t *route.Table, groups map[string]*targets.Group) {
 	e.mu.Lock()
 	e.groups = groups
 	e.mu.Unlock()
 	e.table.Store(t)
 }
 
-func (e *Engine) group(service string) *target.Group {
+func (e *Engine) group(service string) *targets.Group {
 	e.mu.RLock()
 	defer e.mu.RUnlock()
 	return e.groups[service]
@@ -95,7 +95,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if h = e.habits[r.Name()]; h == nil {
-		h = &habit{pace: target.NewPace(r.Objective())}
+		h = &habit{pace: targets.NewPace(r.Objective())}
 		e.habits[r.Name()] = h
 	}
 	return h
@@ -103,7 +103,7 @@
 
 // Do answers one request of a caller that waits for patience. It returns early
 // when ctx ends because the caller has left.
-func (e *Engine) Do(ctx context.Context, t *route.Table, r *route.Route, send *target.Request, started time.Time, patience time.Duration) Answer {
+func (e *Engine) Do(ctx context.Context, t *route.Table, r *route.Route, send *targets.Request, started time.Time, patience time.Duration) Answer {
 	h := e.habit(r)
 	elapsed := time.Duration(h.patience.elapsed(patience.Milliseconds())) * time.Millisecond
 	req := &run{
--- a/query/gather.go
+++ b/query/gather.go
@@ -6,7 +6,7 @@
 
 	"medlaryard.example/medlaryard/meter"
 	"medlaryard.example/medlaryard/refusal"
-	"medlaryard.example/medlaryard/target"
+	"medlaryard.example/medlaryard/targets"
 )
 
 const (
@@ -32,7 +32,7 @@
 	if reachable < needed {
 		return refuse(refusal.NoSearcher, retryDelay(), "targets of %d of %d shards are reachable, %d are needed", reachable, len(names), needed)
 	}
-	r.results = make(chan *target.Call, len(names)*maxSends)
+	r.results = make(chan *targets.Call, len(names)*maxSends)
 	now := r.clock.Now()
 	for i, p := range parts {
 		if p.group != nil {
@@ -85,12 +85,12 @@
 }
 
 // take accounts for a result and tries another target after a failure.
-func (r *run) take(p *part, c *target.Call) {
+func (r *run) take(p *part, c *targets.Call) {
 	p.take(c)
 	if p.answer != nil || p.open > 0 {
 		return
 	}
-	if c.Outcome() == target.NotSent {
+	if c.Outcome() == targets.NotSent {
 		return // The next check tries again, when a target may accept connections.
 	}
 	if r.attempt(p, c.Tag(), r.clock.Now(), false) {
--- a/query/load_test.go
+++ b/query/load_test.go
@@ -80,8 +80,8 @@
 				w := newWorld(t, 3, 20, sound())
 				defer w.close()
 				w.load(15, 2*time.Second)
-				for _, target := range w.targets["shard7"] {
-					target.Become(sound(b))
+				for _, tgt := range w.targets["shard7"] {
+					tgt.Become(sound(b))
 				}
 				replies := w.load(15, 4*time.Second)
 				inTime, _ := served(replies, objective)
@@ -105,8 +105,8 @@
 		w := newWorld(t, 4, 20, sound())
 		defer w.close()
 		for i := range 5 {
-			for _, target := range w.targets[fmt.Sprintf("shard%d", i)] {
-				target.Become(sound(shards.Down()))
+			for _, tgt := range w.targets[fmt.Sprintf("shard%d", i)] {
+				tgt.Become(sound(shards.Down()))
 			}
 		}
 		w.load(20, time.Second)
@@ -192,8 +192,8 @@
 		w := newWorld(t, 5, 4, sound())
 		defer w.close()
 		for _, ts := range w.targets {
-			for _, target := range ts {
-				target.Become(sound(shards.Failing(0.5), shards.Shedding(0.3)))
+			for _, tgt := range ts {
+				tgt.Become(sound(shards.Failing(0.5), shards.Shedding(0.3)))
 			}
 		}
 		replies := w.load(40, 10*time.Second)
@@ -212,8 +212,8 @@
 		defer w.close()
 		w.load(100, 5*time.Second)
 		for name, ts := range w.targets {
-			for _, target := range ts {
-				if n := target.PeakConnections(); n > 3 {
+			for _, tgt := range ts {
+				if n := tgt.PeakConnections(); n > 3 {
 					t.Errorf("a target of %s had %d connections, the share is 3", name, n)
 				}
 			}
@@ -227,8 +227,8 @@
 		w := newWorld(t, 7, 4, sound())
 		defer w.close()
 		for _, ts := range w.targets {
-			for _, target := range ts {
-				target.Become(sound(shards.Silent()))
+			for _, tgt := range ts {
+				tgt.Become(sound(shards.Silent()))
 			}
 		}
 		ctx, cancel := context.WithCancel(context.Background())
--- a/query/run.go
+++ b/query/run.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"medlaryard.example/medlaryard/route"
-	"medlaryard.example/medlaryard/target"
+	"medlaryard.example/medlaryard/targets"
 )
 
 // run is one request while it is served.
@@ -13,10 +13,10 @@
 	schedule
 
 	route   *route.Route
-	send    *target.Request
+	send    *targets.Request
 	habit   *habit
 	started time.Time
-	results chan *target.Call
+	results chan *targets.Call
 	sends   int
 	missing []string // Shards without a part, for the log.
 }
@@ -24,14 +24,14 @@
 // part is the work on one shard, or on the one service of a route.
 type part struct {
 	service string
-	group   *target.Group
-	calls   []*target.Call
+	group   *targets.Group
+	calls   []*targets.Call
 	open    int // Calls without a result.
 	mayRun  int // Calls that may have run or may still run.
 	refused int // Calls that a target refused without running them.
 	tried   time.Time
-	answer  *target.Call // The success.
-	failure *target.Call // The last complete answer that reports a failure.
+	answer  *targets.Call // The success.
+	failure *targets.Call // The last complete answer that reports a failure.
 }
 
 // maxRefused bounds the sends of one part that targets refuse.
@@ -42,23 +42,23 @@
 	if p.mayRun >= r.route.MaxTargets() || p.refused > maxRefused {
 		return false
 	}
-	purpose := target.First
+	purpose := targets.First
 	switch {
 	case hedge:
-		purpose = target.Hedge
+		purpose = targets.Hedge
 	case p.mayRun+p.refused > 0:
-		purpose = target.Retry
+		purpose = targets.Retry
 	}
 	avoid := p.calls
 	if n := len(p.calls); n > 0 && p.mayRun == 0 {
 		avoid = p.calls[n-1:] // A target that refused earlier may have room by now.
-		if p.calls[n-1].Outcome() == target.NotSent {
+		if p.calls[n-1].Outcome() == targets.NotSent {
 			avoid = nil
 		}
 	}
-	c := target.NewCall(r.send, r.habit.pace, r.results,
-		target.Tag(tag), target.Rank(r.route.Priority()), target.After(avoid...), target.For(purpose),
-		target.Allow(func(e target.Entry) bool { return r.allow(r.route, e) }))
+	c := targets.NewCall(r.send, r.habit.pace, r.results,
+		targets.Tag(tag), targets.Rank(r.route.Priority()), targets.After(avoid...), targets.For(purpose),
+		targets.Allow(func(e targets.Entry) bool { return r.allow(r.route, e) }))
 	p.tried = now
 	if len(p.calls) >= maxSends || !p.group.Submit(c) {
 		return false
@@ -71,16 +71,16 @@
 }
 
 // take accounts for the result of a call.
-func (p *part) take(c *target.Call) {
+func (p *part) take(c *targets.Call) {
 	p.open--
 	switch o := c.Outcome(); {
-	case o == target.Answered:
+	case o == targets.Answered:
 		if p.answer == nil {
 			p.answer = c
 		}
-	case o == target.Failed:
+	case o == targets.Failed:
 		p.failure = c
-	case o == target.NotSent:
+	case o == targets.NotSent:
 		p.mayRun--
 	case !o.MayHaveRun():
 		p.mayRun--
@@ -89,7 +89,7 @@
 }
 
 // abandon releases all calls of a part but the one kept.
-func (p *part) abandon(kept *target.Call, callerLeft bool) {
+func (p *part) abandon(kept *targets.Call, callerLeft bool) {
 	for _, c := range p.calls {
 		if c != kept {
 			p.group.Abandon(c, callerLeft)
--- a/query/single.go
+++ b/query/single.go
@@ -6,19 +6,19 @@
 
 	"medlaryard.example/medlaryard/meter"
 	"medlaryard.example/medlaryard/refusal"
-	"medlaryard.example/medlaryard/target"
+	"medlaryard.example/medlaryard/targets"
 )
 
 // single sends the request to one target of the service and returns its answer
 // unchanged.
 func (r *run) single(ctx context.Context, service string) Answer {
 	p := &part{service: service, group: r.group(service)}
-	r.results = make(chan *target.Call, maxSends)
+	r.results = make(chan *targets.Call, maxSends)
 	now := r.clock.Now()
 	if p.group == nil || !r.attempt(p, 0, now, false) {
 		return refuse(refusal.NoSearcher, retryDelay(), "no target of %s accepts the request", service)
 	}
-	var kept *target.Call
+	var kept *targets.Call
 	callerLeft := false
 	defer func() { p.abandon(kept, callerLeft) }()
 	timer := r.clock.NewTimer(r.nextHedge(p, now).Sub(now))
@@ -90,7 +90,7 @@
 }
 
 // relay returns the answer of a target.
-func (r *run) relay(p *part, c *target.Call) Answer {
+func (r *run) relay(p *part, c *targets.Call) Answer {
 	return Answer{response: c.Response(), release: func() { p.group.Abandon(c, false) }}
 }
 
--- a/query/world_test.go
+++ b/query/world_test.go
@@ -11,7 +11,7 @@
 	"medlaryard.example/medlaryard/query"
 	"medlaryard.example/medlaryard/route"
 	"medlaryard.example/medlaryard/standin/shards"
-	"medlaryard.example/medlaryard/target"
+	"medlaryard.example/medlaryard/targets"
 )
 
 // world is an engine over emulated targets. It runs in simulated time, so a test
@@ -20,7 +20,7 @@
 	t        *testing.T
 	emulator *shards.Emulator
 	engine   *query.Engine
-	groups   map[string]*target.Group
+	groups   map[string]*targets.Group
 	targets  map[string][]*shards.Target
 	route    *route.Route
 	table    *route.Table
@@ -30,7 +30,7 @@
 func newWorld(t *testing.T, seed int64, count int, b shards.Behaviour, opts ...route.Option) *world {
 	t.Helper()
 	w := &world{
-		t: t, emulator: shards.New(seed), groups: make(map[string]*target.Group),
+		t: t, emulator: shards.New(seed), groups: make(map[string]*targets.Group),
 		targets: make(map[string][]*shards.Target),
 	}
 	var names []string
@@ -54,13 +54,13 @@
 }
 
 func (w *world) add(name string, b shards.Behaviour) {
-	g := target.NewGroup(name, platform.TargetProtocol(), target.Dial(w.emulator.Dial), target.Near("a"))
-	g.Resize(target.NewSizing(3, 0, target.NewBudgetLimits(0.2, 54, 1), true))
-	var entries []target.Entry
+	g := targets.NewGroup(name, platform.TargetProtocol(), targets.Dial(w.emulator.Dial), targets.Near("a"))
+	g.Resize(targets.NewSizing(3, 0, targets.NewBudgetLimits(0.2, 54, 1), true))
+	var entries []targets.Entry
 	for i, zone := range []string{"a", "b"} {
 		e := w.emulator.Add(fmt.Sprintf("%s-%d", name, i), b)
 		w.targets[name] = append(w.targets[name], e)
-		entries = append(entries, target.NewEntry(e.ID(), name, e.Address(), target.Zone(zone, "r"), target.Slots(2)))
+		entries = append(entries, targets.NewEntry(e.ID(), name, e.Address(), targets.Zone(zone, "r"), targets.Slots(2)))
 	}
 	g.Update(entries)
 	w.groups[name] = g
@@ -86,7 +86,7 @@
 func (w *world) ask(ctx context.Context, id string) reply {
 	started := time.Now()
 	patience := 1500 * time.Millisecond
-	send := target.NewRequest(id, "GET", "/match/"+id, "songs.example", nil, nil, w.route.Idempotent(), started.Add(patience))
+	send := targets.NewRequest(id, "GET", "/match/"+id, "songs.example", nil, nil, w.route.Idempotent(), started.Add(patience))
 	a := w.engine.Do(ctx, w.table, w.route, send, started, patience)
 	r := reply{took: time.Since(started), answer: a}
 	if m := a.Merged(); m != nil {
--- /dev/null
+++ b/targets/entry.go
@@ -0,0 +1,76 @@
+package targets
+
+import "time"
+
+// Entry is what the platform publishes about one running target.
+type Entry struct {
+	id       string
+	born     int64
+	service  string
+	address  string
+	zone     string
+	region   string
+	version  string
+	slots    int
+	draining bool
+	warmLeft time.Duration
+}
+
+// NewEntry returns the entry of target id of service, reachable at address.
+func NewEntry(id, service, address string, opts ...EntryOption) Entry {
+	e := Entry{id: id, service: service, address: address, slots: 1}
+	for _, o := range opts {
+		o(&e)
+	}
+	return e
+}
+
+// ID returns the identity of the target.
+func (e Entry) ID() string { return e.id }
+
+// Service returns the service that the target belongs to.
+func (e Entry) Service() string { return e.service }
+
+// Address returns where the target accepts connections.
+func (e Entry) Address() string { return e.address }
+
+// Zone returns the failure domain of the target.
+func (e Entry) Zone() string { return e.zone }
+
+// Region returns the region of the failure domain.
+func (e Entry) Region() string { return e.region }
+
+// Version returns the version of the target's software.
+func (e Entry) Version() string { return e.version }
+
+// Draining reports whether the target is leaving.
+func (e Entry) Draining() bool { return e.draining }
+
+// sameStart reports whether both entries tell of the same start of a target.
+func (e Entry) sameStart(o Entry) bool {
+	return e.id == o.id && e.born == o.born && e.address == o.address
+}
+
+// EntryOption sets one property of an Entry.
+type EntryOption func(*Entry)
+
+// Born sets the start of the target in Unix milliseconds. A target that starts
+// again under the same identity differs in it.
+func Born(ms int64) EntryOption { return func(e *Entry) { e.born = ms } }
+
+// Zone sets the failure domain and its region.
+func Zone(zone, region string) EntryOption {
+	return func(e *Entry) { e.zone, e.region = zone, region }
+}
+
+// Version sets the version of the target's software.
+func Version(v string) EntryOption { return func(e *Entry) { e.version = v } }
+
+// Slots sets how many requests the target runs at once.
+func Slots(n int) EntryOption { return func(e *Entry) { e.slots = max(n, 1) } }
+
+// Draining marks a target that is leaving.
+func Draining() EntryOption { return func(e *Entry) { e.draining = true } }
+
+// WarmLeft sets how much longer the target is cold.
+func WarmLeft(d time.Duration) EntryOption { return func(e *Entry) { e.warmLeft = d } }
--- /dev/null
+++ b/targets/option.go
@@ -0,0 +1,27 @@
+package targets
+
+import (
+	"context"
+	"net"
+
+	"github.com/rs/zerolog"
+
+	"medlaryard.example/medlaryard/clock"
+)
+
+// Option sets one property of a Group.
+type Option func(*Group)
+
+// Clock sets the source of time.
+func Clock(c clock.Clock) Option { return func(g *Group) { g.clock = c } }
+
+// Dial sets how connections are made.
+func Dial(f func(ctx context.Context, address string) (net.Conn, error)) Option {
+	return func(g *Group) { g.dial = f }
+}
+
+// Near names the failure domain of this daemon, whose targets are preferred.
+func Near(zone string) Option { return func(g *Group) { g.zone = zone } }
+
+// Log sets where state changes of targets are logged.
+func Log(l zerolog.Logger) Option { return func(g *Group) { g.log = l } }
--- /dev/null
+++ b/targets/request.go
@@ -0,0 +1,48 @@
+package targets
+
+import "time"
+
+// Request is one request of a caller, as it is sent to targets.
+type Request struct {
+	id         string
+	method     string
+	uri        string
+	host       string
+	header     []Field
+	body       []byte
+	idempotent bool
+	deadline   time.Time
+}
+
+// Field is one header field.
+type Field struct{ Name, Value string }
+
+// NewRequest returns the request of that id. Deadline is the time, on the
+// daemon's monotonic clock, until which the caller waits.
+func NewRequest(id, method, uri, host string, header []Field, body []byte, idempotent bool, deadline time.Time) *Request {
+	return &Request{
+		id: id, method: method, uri: uri, host: host, header: header, body: body,
+		idempotent: idempotent, deadline: deadline,
+	}
+}
+
+// ID returns the id that the caller gave the request.
+func (r *Request) ID() string { return r.id }
+
+// Method returns the HTTP method.
+func (r *Request) Method() string { return r.method }
+
+// URI returns path and query as the caller sent them.
+func (r *Request) URI() string { return r.uri }
+
+// Host returns the host that the caller named.
+func (r *Request) Host() string { return r.host }
+
+// Header returns the fields to pass on.
+func (r *Request) Header() []Field { return r.header }
+
+// Body returns the whole body.
+func (r *Request) Body() []byte { return r.body }
+
+// Deadline returns the time until which the caller waits.
+func (r *Request) Deadline() time.Time { return r.deadline }
