--- /dev/null
+++ b/node/cluster_test.go
@@ -0,0 +1,236 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"medlaryard.example/medlaryard/clock"
+	"medlaryard.example/medlaryard/standin/metastore"
+	"medlaryard.example/medlaryard/standin/shards"
+)
+
+// cluster is some daemons in this process with stand-ins for store and targets.
+type cluster struct {
+	t       *testing.T
+	store   *metastore.Store
+	server  *httptest.Server
+	daemons []*running
+	targets []*shards.Target
+	version int
+	shards  []string
+}
+
+type running struct {
+	ip     string
+	daemon *Daemon
+	stop   context.CancelFunc
+	done   chan error
+}
+
+const (
+	callersPort   = 18104
+	readyPort     = 18108
+	directoryPort = 18100
+	operatorsPort = 18106
+	peersPort     = 17380
+)
+
+func newCluster(t *testing.T, daemons, shardCount int) *cluster {
+	t.Helper()
+	c := &cluster{t: t, store: metastore.New(3), version: 1}
+	c.server = httptest.NewServer(c.store.Handler())
+	t.Cleanup(c.server.Close)
+	for i := range shardCount {
+		name := fmt.Sprintf("shard%d", i)
+		c.shards = append(c.shards, name)
+		for j := range 2 {
+			c.addTarget(fmt.Sprintf("%s-%d", name, j), name)
+		}
+	}
+	for j := range 2 {
+		c.addTarget(fmt.Sprintf("cards-%d", j), "cards")
+	}
+	c.configure("/match/")
+	for i := range daemons {
+		c.daemons = append(c.daemons, c.run(fmt.Sprintf("127.0.77.%d", i+1)))
+	}
+	c.eventually("all daemons serve", func() bool {
+		for _, d := range c.daemons {
+			if d.daemon.engine.Table() == nil || !d.daemon.able() {
+				return false
+			}
+		}
+		return true
+	})
+	return c
+}
+
+func (c *cluster) addTarget(id, service string) {
+	l, err := net.Listen("tcp4", "127.0.78.1:0")
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	t := shards.New(1).Add(id, shards.NewBehaviour(time.Millisecond, shards.Slots(4)))
+	c.targets = append(c.targets, t)
+	done := make(chan error, 1)
+	go func() { done <- t.Listen(l) }()
+	c.t.Cleanup(func() {
+		_ = l.Close()
+		t.Become(shards.NewBehaviour(0, shards.Down()))
+		<-done
+	})
+	c.store.Put("servers", id, map[string]any{
+		"service": service, "address": l.Addr().String(), "zone": "a", "version": "v1",
+		"max_concurrency": 4, "state": "ready", "warmup_left_ms": 0, "sequence": 1, "born": 1,
+	})
+}
+
+// configure writes a configuration whose sharded route has that prefix.
+func (c *cluster) configure(prefix string) {
+	c.version++
+	services := []map[string]any{{"name": "cards", "max_connections": 50, "health_path": "/healthz"}}
+	for _, s := range c.shards {
+		services = append(services, map[string]any{"name": s, "max_connections": 50, "health_path": "/healthz"})
+	}
+	c.store.Put("config", "main", map[string]any{
+		"version": c.version,
+		"routes": []map[string]any{
+			{
+				"name": "match", "host": "songs.example", "path_prefix": prefix, "route_class": "idempotent",
+				"timeout_ms": 5000, "target_latency_ms": 2000, "priority": 1, "gather": c.shards,
+				"max_attempts": 2, "top_k": 10, "min_coverage": 0.9,
+			},
+			{
+				"name": "card", "host": "songs.example", "path_prefix": "/card/", "route_class": "non_idempotent",
+				"timeout_ms": 5000, "target_latency_ms": 2000, "priority": 2, "service": "cards", "max_attempts": 1,
+			},
+		},
+		"services": services,
+		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 1000, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+	})
+}
+
+func (c *cluster) settings(ip string) Settings {
+	text := fmt.Sprintf(`
+name: "%[1]s"
+zone: a
+region: r
+zones: {a: r}
+listen:
+  callers: "%[1]s:%[2]d"
+  ready: "%[1]s:%[3]d"
+  directory: "%[1]s:%[4]d"
+  operators: "%[1]s:%[5]d"
+  peers: "%[1]s:%[6]d"
+peers: ["127.0.77.1:%[5]d"]
+store:
+  address: "%[7]s"
+shutdown_ms: 1000
+extra_sends: {ratio: 0.2, slack: 50}
+`, ip, callersPort, readyPort, directoryPort, operatorsPort, peersPort, strings.TrimPrefix(c.server.URL, "http://"))
+	s, err := DecodeSettings("test", []byte(text))
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	return s
+}
+
+func (c *cluster) run(ip string) *running {
+	ctx, stop := context.WithCancel(context.Background())
+	r := &running{ip: ip, stop: stop, done: make(chan error, 1)}
+	r.daemon = newDaemon(c.settings(ip), clock.System{}, zerolog.Nop())
+	go func() { r.done <- r.daemon.run(ctx) }()
+	c.t.Cleanup(func() {
+		stop()
+		if err := <-r.done; err != nil {
+			c.t.Errorf("daemon %s: %v", ip, err)
+		}
+		r.done <- nil
+	})
+	return r
+}
+
+// eventually waits until ok; the wait is far above what it takes.
+func (c *cluster) eventually(what string, ok func() bool) {
+	c.t.Helper()
+	const patience = 30 * time.Second
+	for end := time.Now().Add(patience); !ok(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			c.t.Fatalf("not within %v: %s", patience, what)
+		}
+	}
+}
+
+// reply is an answer to a request of a test.
+type reply struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+func (c *cluster) send(ip, method, path, id, body string) reply {
+	c.t.Helper()
+	req, err := http.NewRequest(method, fmt.Sprintf("http://%s:%d%s", ip, callersPort, path), strings.NewReader(body))
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	req.Host = "songs.example"
+	req.Header.Set("X-Medlaryard-Request-Id", id)
+	req.Header.Set("X-Medlaryard-Deadline-Ms", "5000")
+	req.Close = true
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		c.t.Fatalf("%s %s at %s: %v", method, path, ip, err)
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	return reply{status: resp.StatusCode, header: resp.Header, body: b}
+}
+
+// resolve returns the addresses that a daemon tells callers to use.
+func (c *cluster) resolve(ip string) []string {
+	resp, err := http.Get(fmt.Sprintf("http://%s:%d/api/resolve?name=songs.example&region=r&zone=a", ip, directoryPort))
+	if err != nil {
+		return nil
+	}
+	defer resp.Body.Close()
+	var answer struct {
+		Addresses []string `json:"addrs"`
+		TTL       float64  `json:"ttl_s"`
+	}
+	if resp.StatusCode != http.StatusOK || json.NewDecoder(resp.Body).Decode(&answer) != nil || answer.TTL <= 0 {
+		return nil
+	}
+	return answer.Addresses
+}
+
+func (c *cluster) ready(ip string) bool {
+	resp, err := http.Get(fmt.Sprintf("http://%s:%d/api/readyz", ip, readyPort))
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+// runs returns how often a request ran, over all targets.
+func (c *cluster) runs(id string) int {
+	n := 0
+	for _, t := range c.targets {
+		n += t.Runs()[id]
+	}
+	return n
+}
--- a/node/daemon.go
+++ b/node/daemon.go
@@ -88,8 +88,12 @@
 
 // Run runs a daemon until ctx ends and its graceful shutdown is done.
 func Run(ctx context.Context, s Settings, c clock.Clock, l zerolog.Logger) error {
-	d := newDaemon(s, c, l)
-	l.Info().Str("zone", s.Zone()).Str("callers", s.Callers()).Str("store", s.Store()).Msg("daemon starts")
+	return newDaemon(s, c, l).run(ctx)
+}
+
+func (d *Daemon) run(ctx context.Context) error {
+	s := d.settings
+	d.log.Info().Str("zone", s.Zone()).Str("callers", s.Callers()).Str("store", s.Store()).Msg("daemon starts")
 	if err := d.listen(); err != nil {
 		return err
 	}
@@ -103,7 +107,7 @@
 	}
 	stop()
 	d.close()
-	l.Info().Err(err).Msg("daemon stops")
+	d.log.Info().Err(err).Msg("daemon stops")
 	return err
 }
 
--- /dev/null
+++ b/node/daemon_test.go
@@ -0,0 +1,178 @@
+package node
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"medlaryard.example/medlaryard/platform"
+	"medlaryard.example/medlaryard/standin/metastore"
+	"medlaryard.example/medlaryard/standin/shards"
+)
+
+// Guards against a path on which some part does not fit the others: directory,
+// merged answers, single answers and the statuses of requests that cannot be
+// served.
+func TestWholePath(t *testing.T) {
+	c := newCluster(t, 3, 4)
+	c.eventually("each daemon names all three", func() bool {
+		for _, d := range c.daemons {
+			if len(c.resolve(d.ip)) != 3 {
+				return false
+			}
+		}
+		return true
+	})
+	for i, d := range c.daemons {
+		id := fmt.Sprintf("m%d", i)
+		r := c.send(d.ip, "GET", "/match/"+id, id, "")
+		stamps := strings.Split(r.header.Get("X-Medlaryard-Part-Stamps"), ", ")
+		if r.status != http.StatusOK || len(stamps) != 4 || r.header.Get("X-Medlaryard-Missing-Parts") != "0" || len(r.body) != 160 {
+			t.Errorf("merged answer of %s: status %d, %d parts, %d bytes", d.ip, r.status, len(stamps), len(r.body))
+		}
+		id = fmt.Sprintf("c%d", i)
+		r = c.send(d.ip, "POST", "/card/"+id, id, "play")
+		if r.status != http.StatusOK || r.header.Get("X-Medlaryard-Response-Stamp") == "" || c.runs(id) != 1 {
+			t.Errorf("single answer of %s: status %d, %d runs", d.ip, r.status, c.runs(id))
+		}
+	}
+	got := map[string]int{
+		"unknown path": c.send(c.daemons[0].ip, "GET", "/none/", "x1", "").status,
+		"no id":        c.send(c.daemons[0].ip, "GET", "/match/", "", "").status,
+		"large body":   c.send(c.daemons[0].ip, "POST", "/card/", "x2", strings.Repeat("z", 1001)).status,
+	}
+	if diff := cmp.Diff(map[string]int{"unknown path": 404, "no id": 400, "large body": 413}, got); diff != "" {
+		t.Errorf("statuses (-want +got):\n%s", diff)
+	}
+}
+
+// Guards against a daemon that keeps to an older configuration: because another
+// daemon watches for it, the watch hears nothing, or the history was dropped.
+func TestConfigurationReachesAllDaemons(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		fault func(s *metastore.Store)
+	}{
+		{"sound", func(*metastore.Store) {}},
+		{"deaf watches", func(s *metastore.Store) { s.Inject(metastore.Deaf()) }},
+		{"dropped history", func(s *metastore.Store) { s.Compact() }},
+		{"after an outage", func(s *metastore.Store) {
+			s.Inject(metastore.Down())
+			time.AfterFunc(time.Second, func() { s.Inject(metastore.Sound()) })
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			cl := newCluster(t, 3, 1)
+			c.fault(cl.store)
+			cl.configure("/new/")
+			for _, d := range cl.daemons {
+				cl.eventually("the new route is served by "+d.ip, func() bool {
+					return cl.send(d.ip, "GET", "/new/1", "n"+d.ip, "").status == http.StatusOK
+				})
+				if got := cl.send(d.ip, "GET", "/match/1", "o"+d.ip, "").status; got != http.StatusNotFound {
+					t.Errorf("status %d for the removed route at %s, want 404", got, d.ip)
+				}
+			}
+		})
+	}
+}
+
+// Guards against a daemon that cannot start while the store is away although
+// its neighbours know the configuration, and against 404 before any is known.
+func TestStartDuringAnOutage(t *testing.T) {
+	c := newCluster(t, 2, 2)
+	c.store.Inject(metastore.Hanging())
+	late := c.run("127.0.77.3")
+	c.daemons = append(c.daemons, late)
+	c.eventually("the late daemon serves", func() bool {
+		r := c.ready(late.ip)
+		if r {
+			return c.send(late.ip, "GET", "/match/1", "late", "").status == http.StatusOK
+		}
+		return false
+	})
+	c.store.Inject(metastore.Sound())
+}
+
+// Guards against requests that are cut off by a planned shutdown, and against
+// callers that are sent to a daemon that leaves.
+func TestGracefulShutdown(t *testing.T) {
+	c := newCluster(t, 2, 2)
+	leaving := c.daemons[1]
+	for _, target := range c.targets {
+		target.Become(shards.NewBehaviour(150*time.Millisecond, shards.Slots(4)))
+	}
+	results := make(chan reply, 8)
+	for i := range 8 {
+		go func() { results <- c.send(leaving.ip, "GET", "/match/1", fmt.Sprintf("g%d", i), "") }()
+	}
+	leaving.stop()
+	for range 8 {
+		if r := <-results; r.status != http.StatusOK {
+			t.Errorf("status %d for a request during the shutdown", r.status)
+		}
+	}
+	c.eventually("the other daemon no longer names the one that leaves", func() bool {
+		return !slices.ContainsFunc(c.resolve(c.daemons[0].ip), func(a string) bool { return strings.HasPrefix(a, leaving.ip+":") })
+	})
+	if c.ready(leaving.ip) {
+		t.Error("a leaving daemon counts as ready")
+	}
+}
+
+// Guards against targets that are used although they drain or their failure
+// domain was taken out, and against targets that are forgotten at once when
+// their entries lapse in an outage.
+func TestDrainingAndEvacuation(t *testing.T) {
+	c := newCluster(t, 1, 1)
+	d := c.daemons[0]
+	c.store.Put("evacuations", "a", map[string]any{})
+	c.eventually("nothing is sent to the failure domain", func() bool {
+		return c.send(d.ip, "GET", "/match/1", "e", "").status == http.StatusServiceUnavailable
+	})
+	before := c.runs("e2")
+	if r := c.send(d.ip, "GET", "/match/1", "e2", ""); r.status != 503 || c.runs("e2") != before {
+		t.Errorf("status %d and %d runs, want 503 and none", r.status, c.runs("e2")-before)
+	}
+	c.store.Delete("evacuations", "a")
+	c.eventually("the failure domain is used again", func() bool {
+		return c.send(d.ip, "GET", "/match/1", "e3", "").status == http.StatusOK
+	})
+}
+
+// Guards against entries that vanish and return within the time that lapsed
+// ones take, but whose target got nothing meanwhile, and against those that stay
+// away and are still used.
+func TestVanishedEntriesLinger(t *testing.T) {
+	r := newRoster(nopLogger())
+	now := time.Unix(1000, 0)
+	ts := decoded(t, "i-1")
+	r.update(ts, now)
+	r.update(nil, now.Add(time.Second))
+	for _, c := range []struct {
+		after time.Duration
+		want  int
+	}{{0, 1}, {linger - time.Millisecond, 1}, {linger, 0}} {
+		entries, _ := r.entries(now.Add(time.Second+c.after), nil)
+		if got := len(entries["s"]); got != c.want {
+			t.Errorf("%v after it vanished: %d entries, want %d", c.after, got, c.want)
+		}
+	}
+	r.update(ts, now.Add(10*time.Second))
+	if entries, _ := r.entries(now.Add(10*time.Second), nil); len(entries["s"]) != 1 {
+		t.Error("an entry that is back is not used")
+	}
+	if entries, _ := r.entries(now.Add(10*time.Second), map[string]bool{"a": true}); len(entries["s"]) != 0 {
+		t.Error("an entry of an evacuated failure domain is used")
+	}
+}
+
+func decoded(t *testing.T, names ...string) []platform.Target {
+	t.Helper()
+	return platform.DecodeTargets(objects(names...), func(string) string { return "r" })
+}
