query, targets: a request earns budget once; smaller share of the slack

A request whose shard had no target earned budget at each check, and daemons that took over for killed ones had buckets of their own. Change: a resend of an unsent call neither earns nor costs; the buckets of the serving daemons hold 0.55 of the slack.

--- a/query/load_test.go
+++ b/query/load_test.go
@@ -245,3 +245,22 @@
 		}
 	})
 }
+
+// Guards against budget that is earned more than once by a request whose shard
+// has no target for a while.
+func TestRequestsEarnBudgetOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 8, 20, sound())
+		defer w.close()
+		g := w.groups["shard0"]
+		g.Update(nil)
+		for _, tgt := range w.targets["shard1"] {
+			tgt.Become(sound(shards.Silent())) // The answer waits until the objective.
+		}
+		before := g.Budget()
+		w.ask(context.Background(), "q")
+		if earned := g.Budget() - before; earned > 0.2 {
+			t.Errorf("one request earned %.2f extra sends, the ratio is 0.2", earned)
+		}
+	})
+}
--- a/query/run.go
+++ b/query/run.go
@@ -30,6 +30,7 @@
 	mayRun  int // Calls that may have run or may still run.
 	refused int // Calls that a target refused without running them.
 	tried   time.Time
+	counted bool // The group has earned budget by the request.
 	answer  *targets.Call // The success.
 	failure *targets.Call // The last complete answer that reports a failure.
 }
@@ -48,7 +49,10 @@
 		purpose = targets.Hedge
 	case p.mayRun+p.refused > 0:
 		purpose = targets.Retry
+	case p.counted:
+		purpose = targets.Resend
 	}
+	p.counted = true
 	avoid := p.calls
 	if n := len(p.calls); n > 0 && p.mayRun == 0 {
 		avoid = p.calls[n-1:] // A target that refused earlier may have room by now.
--- a/targets/budget.go
+++ b/targets/budget.go
@@ -3,9 +3,13 @@
 import "math"
 
 const (
-	// budgetMargin keeps the share of one daemon below its part of the bound,
-	// because daemons divide the requests of a service unevenly and start anew.
-	budgetMargin = 0.8
+	// ratioMargin keeps the earned sends below the ratio, because the sends of a
+	// window may follow requests of the window before.
+	ratioMargin = 0.8
+	// slackMargin keeps the buckets of all daemons below the slack, because those
+	// that start, stop or take over have a bucket of their own: half as many
+	// again as serve.
+	slackMargin = 0.55
 	// hedgeReserve is the part of the bucket that hedges leave untouched.
 	hedgeReserve = 0.25
 )
@@ -34,7 +38,7 @@
 // capacity is the greatest number of tokens. A restarted daemon starts with
 // half of it, so that restarts do not multiply the slack.
 func (l BudgetLimits) capacity() float64 {
-	return math.Max(1, budgetMargin*l.slack/float64(l.daemons))
+	return math.Max(1, slackMargin*l.slack/float64(l.daemons))
 }
 
 func (b *budget) configure(l BudgetLimits) {
@@ -46,7 +50,7 @@
 }
 
 func (b *budget) earn() {
-	b.tokens = math.Min(b.tokens+budgetMargin*b.limits.ratio, b.limits.capacity())
+	b.tokens = math.Min(b.tokens+ratioMargin*b.limits.ratio, b.limits.capacity())
 }
 
 // take spends a token. A hedge leaves a reserve for requests that have failed,
--- a/targets/group.go
+++ b/targets/group.go
@@ -286,8 +286,8 @@
 func (g *Group) Submit(c *Call) bool {
 	g.mu.Lock()
 	now := g.clock.Now()
-	extra := c.purpose != First
-	if !extra {
+	extra := c.purpose == Retry || c.purpose == Hedge
+	if c.purpose == First {
 		g.budget.earn()
 	}
 	if g.closed || len(g.waiting) >= maxWaiting || !g.hasTarget(c) {
@@ -351,6 +351,13 @@
 	g.wg.Wait()
 }
 
+// Budget returns how many extra sends are left to this daemon.
+func (g *Group) Budget() float64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.budget.tokens
+}
+
 // InFlight returns how many requests the targets work on.
 func (g *Group) InFlight() int {
 	g.mu.Lock()
