--- a/standin/metastore/handler.go
+++ b/standin/metastore/handler.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"io"
 	"net/http"
 	"slices"
 	"strconv"
@@ -28,6 +29,8 @@
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
 		case f.hang:
+			// The end of the caller is only noticed once the body is read.
+			_, _ = io.Copy(io.Discard, r.Body)
 			<-r.Context().Done()
 			return
 		}
