upgrade, node, targets: services move to another version; equal targets take turns

Cause: an order to move a service was ignored, so a new version got as much as the old one at once; among targets of nearly the same cost the first known to be a little faster got every request (TestColdTargetIsSpared). Change: every daemon judges a move on the evidence of all, the first that reaches the store publishes its state; costs within 10% count as equal.

--- a/fleet/member.go
+++ b/fleet/member.go
@@ -1,6 +1,10 @@
 package fleet
 
-import "time"
+import (
+	"time"
+
+	"medlaryard.example/medlaryard/mirror/mirrorpb"
+)
 
 // Member is another daemon as its last heartbeat described it.
 type Member struct {
@@ -13,6 +17,7 @@
 	serving     bool
 	storeAge    time.Duration
 	versions    map[string]uint64
+	moves       []*mirrorpb.MoveEvidence
 	heard       time.Time
 }
 
@@ -39,3 +44,6 @@
 
 // Versions returns the version of each kind of object that it has.
 func (m Member) Versions() map[string]uint64 { return m.versions }
+
+// Moves returns what the daemon saw of services that move to another version.
+func (m Member) Moves() []*mirrorpb.MoveEvidence { return m.moves }
--- a/mirror/follower.go
+++ b/mirror/follower.go
@@ -50,8 +50,7 @@
 	contact   atomic.Int64 // Boot time of the last answer, in nanoseconds.
 	connected atomic.Bool
 	standby   func() bool
-	skipped   int          // Pings left out; only the pinging goroutine uses it.
-	regained  atomic.Int64 // Boot time of the end of the last loss of contact.
+	skipped   int // Pings left out; only the pinging goroutine uses it.
 	wg        sync.WaitGroup
 }
 
@@ -98,11 +97,8 @@
 	return f.clock.Boot() - time.Duration(at)
 }
 
-// SinceRegained returns the time since contact with the store was regained
-// after a loss.
-func (f *Follower) SinceRegained() time.Duration {
-	return f.clock.Boot() - time.Duration(f.regained.Load())
-}
+// Connected reports whether the last call to the store was answered.
+func (f *Follower) Connected() bool { return f.connected.Load() }
 
 func (f *Follower) follow(ctx context.Context, k Kind) {
 	delay := firstDelay
@@ -190,7 +186,6 @@
 	if err == nil || errors.Is(err, ErrHistoryGone) {
 		last := time.Duration(f.contact.Swap(int64(now)))
 		if !f.connected.Swap(true) {
-			f.regained.Store(int64(now))
 			f.log.Info().Dur("lost_for", now-last).Msg("store answers")
 		}
 		return
--- a/node/cluster_test.go
+++ b/node/cluster_test.go
@@ -28,6 +28,7 @@
 	targets []*shards.Target
 	version int
 	shards  []string
+	entries map[string]map[string]any // Entries of targets by id.
 }
 
 type running struct {
@@ -47,7 +48,7 @@
 
 func newCluster(t *testing.T, daemons, shardCount int) *cluster {
 	t.Helper()
-	c := &cluster{t: t, store: metastore.New(3), version: 1}
+	c := &cluster{t: t, store: metastore.New(3), version: 1, entries: make(map[string]map[string]any)}
 	c.server = httptest.NewServer(c.store.Handler())
 	t.Cleanup(c.server.Close)
 	for i := range shardCount {
@@ -89,10 +90,17 @@
 		t.Become(shards.NewBehaviour(0, shards.Down()))
 		<-done
 	})
-	c.store.Put("servers", id, map[string]any{
+	c.entries[id] = map[string]any{
 		"service": service, "address": l.Addr().String(), "zone": "a", "version": "v1",
 		"max_concurrency": 4, "state": "ready", "warmup_left_ms": 0, "sequence": 1, "born": 1,
-	})
+	}
+	c.store.Put("servers", id, c.entries[id])
+}
+
+// setVersion changes the version in a target's entry.
+func (c *cluster) setVersion(id, version string) {
+	c.entries[id]["version"] = version
+	c.store.Put("servers", id, c.entries[id])
 }
 
 // configure writes a configuration whose sharded route has that prefix.
--- a/node/daemon.go
+++ b/node/daemon.go
@@ -81,6 +81,7 @@
 	table    *route.Table
 	used     map[string]bool // Services that some route of the table uses.
 	expiry   clock.Timer
+	moves    map[string]*moveState // By service.
 	wg       sync.WaitGroup
 	servers  []*http.Server
 	failures chan error
@@ -120,6 +121,7 @@
 		fetches:     make(chan string, 1),
 		roster:      newRoster(l),
 		groups:      make(map[string]*targets.Group),
+		moves:       make(map[string]*moveState),
 		failures:    make(chan error, 1),
 		peers: &http.Client{Transport: &http.Transport{
 			DialContext: (&net.Dialer{
@@ -215,6 +217,11 @@
 	d.goes(func() { d.join(ctx) })
 	d.goes(func() { d.fetch(ctx) })
 	d.goes(func() { d.applyChanges(ctx) })
+	d.goes(func() {
+		for clock.Sleep(ctx, d.clock, moveCheck) == nil {
+			d.stepMoves(ctx)
+		}
+	})
 	d.goes(func() {
 		for clock.Sleep(ctx, d.clock, resizeEvery) == nil {
 			d.resize()
@@ -281,6 +288,7 @@
 		Leaving: d.leaving.Load(), Serving: d.able(),
 		StoreAgeMs: uint32(min(d.follower.StoreAge(), time.Hour).Milliseconds()),
 		Versions:   d.mirror.Versions(),
+		Moves:      d.moveEvidence(),
 	}
 }
 
@@ -308,6 +316,17 @@
 	return before < watchers
 }
 
+// precedes reports whether this daemon is the first by name of those that reach
+// the store.
+func (d *Daemon) precedes() bool {
+	for _, m := range d.fleet.Alive() {
+		if m.Name() < d.settings.Name() && !m.Leaving() && m.StoreAge() < mirror.FreshContact {
+			return false
+		}
+	}
+	return true
+}
+
 // heard fetches changes from a neighbour that has some.
 func (d *Daemon) heard(m fleet.Member) {
 	own := d.mirror.Versions()
--- /dev/null
+++ b/node/moves_test.go
@@ -0,0 +1,39 @@
+package node
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"medlaryard.example/medlaryard/standin/shards"
+)
+
+// Guards against moves that are never reported, a good version that is rolled
+// back and a bad one that completes, on the whole path with two daemons.
+func TestMovesEnd(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		b    shards.Behaviour
+		want string
+	}{
+		{"good", shards.NewBehaviour(time.Millisecond, shards.Slots(4)), "completed"},
+		{"bad", shards.NewBehaviour(time.Millisecond, shards.Slots(4), shards.Failing(1)), "rolled_back"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			cl := newCluster(t, 2, 1)
+			cl.addTarget("shard0-new", "shard0")
+			cl.targets[len(cl.targets)-1].Become(c.b)
+			cl.setVersion("shard0-new", "v2")
+			cl.store.Put("rollouts", "shard0", map[string]any{"service": "shard0", "target_version": "v2", "duration_s": 3})
+			n := 0
+			cl.eventually("the state is "+c.want, func() bool {
+				for _, d := range cl.daemons {
+					n++
+					cl.send(d.ip, "GET", "/match/1", fmt.Sprintf("m%d", n), "")
+				}
+				return strings.Contains(cl.store.Status("rollouts", "shard0"), `"state":"`+c.want+`"`)
+			})
+		})
+	}
+}
--- a/query/run.go
+++ b/query/run.go
@@ -30,7 +30,7 @@
 	mayRun  int // Calls that may have run or may still run.
 	refused int // Calls that a target refused without running them.
 	tried   time.Time
-	counted bool // The group has earned budget by the request.
+	counted bool          // The group has earned budget by the request.
 	answer  *targets.Call // The success.
 	failure *targets.Call // The last complete answer that reports a failure.
 }
--- a/standin/metastore/store.go
+++ b/standin/metastore/store.go
@@ -120,15 +120,11 @@
 	return s.calls
 }
 
-// Objects returns the specs of a kind by name.
-func (s *Store) Objects(kind string) map[string]json.RawMessage {
+// Status returns the encoded status of an object, "" if it has none.
+func (s *Store) Status(kind, name string) string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	specs := make(map[string]json.RawMessage)
-	for name, o := range s.kinds[kind] {
-		specs[name] = o.Spec
-	}
-	return specs
+	return string(s.kinds[kind][name].Status)
 }
 
 // page returns the objects of a kind after a name.
--- a/targets/call.go
+++ b/targets/call.go
@@ -19,6 +19,7 @@
 
 	// The group's lock guards what follows until the result is delivered.
 	state    callState
+	newer    bool // It goes to the version that the service moves to.
 	target   *Target
 	conn     *conn
 	sent     time.Time
--- a/targets/dispatch.go
+++ b/targets/dispatch.go
@@ -23,7 +23,8 @@
 
 // eligible reports whether t may get c at all.
 func (g *Group) eligible(t *Target, c *Call) bool {
-	return !t.gone && !t.entry.draining && !c.avoids(t) && (c.allow == nil || c.allow(t.entry))
+	return !t.gone && !t.entry.draining && !c.avoids(t) && (c.allow == nil || c.allow(t.entry)) &&
+		(g.move == nil || g.move.permits(t.entry.version, c.newer))
 }
 
 func (g *Group) hasTarget(c *Call) bool {
@@ -56,6 +57,9 @@
 	return sends
 }
 
+// sameCost is up to which part costs do not differ, since they are estimates.
+const sameCost = 0.1
+
 // choose returns the target with the least cost and its connection. Without a
 // connection the call waits for one; without a target there is none to wait for.
 func (g *Group) choose(c *Call, now time.Time) (*Target, *conn) {
@@ -63,7 +67,9 @@
 	var bestConn *conn
 	var bestCost float64
 	dialCosts := float64(dialCost) / float64(c.pace.Median())
-	for _, t := range g.targets {
+	g.turn++ // Among targets of the same cost each is the first in turn.
+	for i := range g.targets {
+		t := g.targets[(g.turn+i)%len(g.targets)]
 		if !g.eligible(t, c) || t.down {
 			continue
 		}
@@ -79,7 +85,7 @@
 			}
 			cost += dialCosts
 		}
-		if best == nil || cost < bestCost {
+		if best == nil || cost < bestCost*(1-sameCost) {
 			best, bestConn, bestCost = t, conn, cost
 		}
 	}
@@ -214,6 +220,9 @@
 	default:
 		c.target.observe(now, 0, true)
 	}
+	if g.move != nil {
+		g.move.count(c.target.entry.version, o != Answered && o.MayHaveRun() || ratio > slowAnswer)
+	}
 	meter.Count("target.outcome."+string(o), 1)
 }
 
--- a/targets/group.go
+++ b/targets/group.go
@@ -45,12 +45,14 @@
 	wg       sync.WaitGroup
 	closed   bool
 	targets  []*Target
+	turn     int
 	waiting  []*Call
 	budget   budget
 	limit    int     // Connections to one target.
 	coldRate float64 // What a cold target bears, over all daemons.
 	daemons  int
 	warm     bool // Connections are made before they are needed.
+	move     *versionMove
 }
 
 // NewGroup returns the group of a service without targets.
@@ -290,6 +292,12 @@
 	if c.purpose == First {
 		g.budget.earn()
 	}
+	if g.move != nil {
+		c.newer = g.move.next(c.purpose)
+		if c.newer && !g.hasTarget(c) {
+			c.newer = false // No target of the new version accepts connections.
+		}
+	}
 	if g.closed || len(g.waiting) >= maxWaiting || !g.hasTarget(c) {
 		g.mu.Unlock()
 		return false
--- a/targets/target.go
+++ b/targets/target.go
@@ -24,7 +24,7 @@
 	silentFactor = 2
 	// farCost is the cost of a target in another failure domain, in usual
 	// latencies. It decides among targets that are otherwise alike.
-	farCost = 0.15
+	farCost = 0.25
 	// dialCost is the time that a new connection takes before the request can
 	// be sent.
 	dialCost = 8 * time.Millisecond
--- /dev/null
+++ b/upgrade/tally.go
@@ -0,0 +1,37 @@
+package upgrade
+
+// Tally counts answers of one version of a service.
+type Tally struct {
+	requests int
+	bad      int
+}
+
+// NewTally returns a tally of that many requests, of which some had a failure or
+// an answer that took several times as long as usual.
+func NewTally(requests, bad int) Tally { return Tally{requests: requests, bad: bad} }
+
+// Requests returns the number of requests.
+func (t Tally) Requests() int { return t.requests }
+
+// Bad returns the number of bad answers.
+func (t Tally) Bad() int { return t.bad }
+
+// Count adds one answer.
+func (t *Tally) Count(bad bool) {
+	t.requests++
+	if bad {
+		t.bad++
+	}
+}
+
+// Add returns the sum of two tallies.
+func (t Tally) Add(o Tally) Tally {
+	return Tally{requests: t.requests + o.requests, bad: t.bad + o.bad}
+}
+
+func (t Tally) rate() float64 {
+	if t.requests == 0 {
+		return 0
+	}
+	return float64(t.bad) / float64(t.requests)
+}
