--- a/mirror/follower.go
+++ b/mirror/follower.go
@@ -27,9 +27,9 @@
 	standbyPings = 4
 	// firstDelay and lastDelay bound the pause after a failed call.
 	firstDelay = 100 * time.Millisecond
-	lastDelay  = time.Second
+	lastDelay  = 400 * time.Millisecond
 	// idleCheck is how often a daemon that does not watch looks whether it should.
-	idleCheck = 250 * time.Millisecond
+	idleCheck = 100 * time.Millisecond
 	// freshContact is the age up to which a daemon's contact with the store
 	// counts as intact: two pings and the longest call.
 	freshContact = 2*pingEvery + 300*time.Millisecond
@@ -58,11 +58,23 @@
 type Kind struct {
 	name   string
 	reread time.Duration
+	gather time.Duration
+	lead   bool
 }
 
 // NewKind follows the kind of that name and lists it again after each reread,
-// whatever the watch says.
-func NewKind(name string, reread time.Duration) Kind { return Kind{name: name, reread: reread} }
+// whatever the watch says. After a change it waits for gather, so that one call
+// tells of several changes.
+func NewKind(name string, reread, gather time.Duration) Kind {
+	return Kind{name: name, reread: reread, gather: gather}
+}
+
+// Leading returns a kind that is read first; the others follow once the store
+// answers.
+func Leading(k Kind) Kind {
+	k.lead = true
+	return k
+}
 
 // NewFollower returns a follower. Elect reports whether this daemon is to watch
 // the store now; otherwise it relies on its neighbours.
@@ -105,8 +117,10 @@
 	var listed time.Duration
 	fresh := false
 	for ctx.Err() == nil {
-		// While the store does not answer, only the pings try it.
-		if f.mirror.Known(k.name) && (!f.elect() || !f.connected.Load()) {
+		// While the store does not answer, only the pings and the first reading of
+		// the leading kind try it.
+		known := f.mirror.Known(k.name)
+		if known && !f.elect() || !f.connected.Load() && (known || !k.lead) {
 			fresh = false
 			_ = clock.Sleep(ctx, f.clock, idleCheck) // Ends early only with ctx.
 			continue
@@ -116,8 +130,12 @@
 			err = f.list(ctx, k.name)
 			fresh, listed = err == nil, f.clock.Boot()
 		} else {
-			err = f.watch(ctx, k.name, min(maxWait, k.reread))
+			var events int
+			events, err = f.watch(ctx, k.name, min(maxWait, k.reread))
 			fresh = err == nil
+			if events > 0 {
+				_ = clock.Sleep(ctx, f.clock, k.gather) // Ends early only with ctx.
+			}
 		}
 		f.note(err)
 		if err == nil {
@@ -142,7 +160,8 @@
 	return nil
 }
 
-func (f *Follower) watch(ctx context.Context, kind string, wait time.Duration) error {
+// watch waits for changes of a kind and returns their number.
+func (f *Follower) watch(ctx context.Context, kind string, wait time.Duration) (int, error) {
 	cursor, _ := f.mirror.Cursor(kind)
 	ctx, cancel := clock.WithDeadline(ctx, f.clock, f.clock.Boot()+wait+callTimeout)
 	defer cancel()
@@ -151,10 +170,10 @@
 		meter.Count("mirror.store.history_gone", 1)
 	}
 	if err != nil {
-		return err
+		return 0, err
 	}
 	f.mirror.Apply(kind, events, at)
-	return nil
+	return len(events), nil
 }
 
 // ping proves the contact while this daemon watches.
--- a/node/daemon.go
+++ b/node/daemon.go
@@ -32,6 +32,9 @@
 	configReread  = 3 * time.Second
 	targetsReread = 8 * time.Second
 	ordersReread  = 10 * time.Second
+	// gatherChanges is how long changes of targets are gathered; a target that
+	// drains serves for 3 s at least.
+	gatherChanges = 200 * time.Millisecond
 	// fetchTimeout bounds one call to a neighbour.
 	fetchTimeout = 700 * time.Millisecond
 	// resizeEvery is how often the division of limits follows the fleet's size.
@@ -238,11 +241,11 @@
 		}
 	}
 	d.follower.Run(ctx,
-		mirror.NewKind(platform.KindConfig, configReread),
-		mirror.NewKind(platform.KindTargets, targetsReread),
-		mirror.NewKind(platform.KindMoves, ordersReread),
-		mirror.NewKind(platform.KindEvacuations, ordersReread),
-		mirror.NewKind(platform.KindDaemons, ordersReread))
+		mirror.Leading(mirror.NewKind(platform.KindConfig, configReread, 0)),
+		mirror.NewKind(platform.KindTargets, targetsReread, gatherChanges),
+		mirror.NewKind(platform.KindMoves, ordersReread, 0),
+		mirror.NewKind(platform.KindEvacuations, ordersReread, 0),
+		mirror.NewKind(platform.KindDaemons, ordersReread, gatherChanges))
 }
 
 func (d *Daemon) goes(f func()) {
@@ -292,9 +295,9 @@
 	}
 }
 
-// watchers is how many daemons watch the store at a time, so that the loss of
-// one delays nothing.
-const watchers = 2
+// watchers is how many daemons watch the store at a time. Another takes over
+// within about two seconds, before a change must be in force.
+const watchers = 1
 
 // watches reports whether this daemon is to watch the store. A daemon that
 // serves does so if fewer than the wanted number before it in the order of names
