--- a/command/node.go
+++ b/command/node.go
@@ -7,11 +7,17 @@
 	"syscall"
 
 	"github.com/rs/zerolog"
+	"github.com/rs/zerolog/diode"
 
+	"medlaryard.example/medlaryard/meter"
 	"medlaryard.example/medlaryard/node"
 	"medlaryard.example/medlaryard/platform"
 )
 
+// logLines is how many log lines are kept for a slow reader; a line takes about
+// 250 bytes.
+const logLines = 4096
+
 type nodeCommand struct {
 	Settings string `arg:"" optional:"" help:"Settings file of this daemon, see docs/platform.md. Default: the file that $MEDLARYARD_BOOT names."`
 	Check    bool   `help:"Only check the settings."`
@@ -36,7 +42,13 @@
 			return &fault{code: Faulty, err: err}
 		}
 	}
-	log := zerolog.New(env.Stdout).Level(level).With().Timestamp().Str("daemon", s.Name()).Logger()
+	// A reader of the log that stops reading must not hold up a request, so lines
+	// beyond the buffer are dropped and counted.
+	out := diode.NewWriter(env.Stdout, logLines, 0, func(missed int) {
+		meter.Count("log.dropped", int64(missed))
+	})
+	defer out.Close()
+	log := zerolog.New(out).Level(level).With().Timestamp().Str("daemon", s.Name()).Logger()
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	// SIGHUP announces changed settings. None of them changes while a daemon
--- a/query/engine.go
+++ b/query/engine.go
@@ -28,6 +28,9 @@
 	mu     sync.RWMutex
 	groups map[string]*targets.Group
 	habits map[string]*habit
+
+	storyMu  sync.Mutex
+	throttle *throttle
 }
 
 // habit is what is known of the requests of one route.
@@ -61,6 +64,8 @@
 		allow:  func(*route.Route, targets.Entry) bool { return true },
 		groups: make(map[string]*targets.Group),
 		habits: make(map[string]*habit),
+
+		throttle: newThrottle(),
 	}
 	for _, o := range opts {
 		o(e)
@@ -120,23 +125,46 @@
 	return a
 }
 
-// account counts and logs the outcome of a request.
+// account counts and logs the outcome of a request. Requests that failed, lack
+// parts or missed their objective are logged with the decisions about them.
 func (e *Engine) account(r *run, a Answer, version uint64) {
 	took := e.clock.Now().Sub(r.started)
-	meter.Latency("query.latency", took)
-	if a.refusal != nil {
+	meter.Latency("query.latency."+r.route.Name(), took)
+	outcome, missing := "answered", 0
+	switch {
+	case a.refusal != nil:
+		outcome = string(a.refusal.Kind())
 		meter.Refused("query", a.refusal.Kind())
-		e.log.Warn().Str("request", r.send.ID()).Str("route", r.route.Name()).Uint64("configuration", version).
-			Str("kind", string(a.refusal.Kind())).Dur("took", took).Int("sends", r.sends).
-			Str("cause", a.refusal.Error()).Msg("request refused")
+	case a.merged != nil && a.merged.missing > 0:
+		outcome, missing = "partial", a.merged.missing
+		meter.Count("query.partial", 1)
+	case took > r.route.Objective():
+		outcome = "late"
+		meter.Count("query.late", 1)
+	}
+	e.storyMu.Lock()
+	defer e.storyMu.Unlock()
+	if outcome == "answered" && !e.throttle.sampled() {
 		return
 	}
-	if a.merged != nil && a.merged.missing > 0 {
-		meter.Count("query.partial", 1)
-		e.log.Info().Str("request", r.send.ID()).Str("route", r.route.Name()).Uint64("configuration", version).
-			Int("missing", a.merged.missing).Strs("shards", r.missing).Dur("took", took).Int("sends", r.sends).
-			Msg("request answered without all shards")
+	ok, leftOut := e.throttle.allow(e.clock.Now(), len(r.story)+1)
+	if leftOut > 0 {
+		e.log.Warn().Int("lines", leftOut).Msg("lines about requests were left out")
+	}
+	if !ok {
+		return
+	}
+	r.tell(&e.log)
+	l := e.log.Info().Str("request", r.send.ID()).Str("route", r.route.Name()).Uint64("configuration", version).
+		Str("outcome", outcome).Dur("took", took).Dur("objective", r.route.Objective()).
+		Dur("usual", r.habit.pace.Median()).Int("sends", r.sends)
+	if missing > 0 {
+		l = l.Int("missing", missing).Strs("shards", r.missing)
+	}
+	if a.refusal != nil {
+		l = l.Str("cause", a.refusal.Error()).Dur("retry_after", a.retryAfter)
 	}
+	l.Msg("request")
 }
 
 // retryDelay spreads callers that come back over the time in which a target
--- a/query/gather.go
+++ b/query/gather.go
@@ -51,9 +51,11 @@
 		switch now = r.clock.Now(); r.judge(now, count(parts, needed)) {
 		case answer:
 			callerLeft = false
+			r.noteSilent(parts)
 			return r.merge(parts)
 		case fail:
 			callerLeft = false
+			r.noteSilent(parts)
 			return r.unanswered(parts, now)
 		case wait:
 		}
@@ -87,6 +89,7 @@
 // take accounts for a result and tries another target after a failure.
 func (r *run) take(p *part, c *targets.Call) {
 	p.take(c)
+	r.noteResult(p, c)
 	if p.answer != nil || p.open > 0 {
 		return
 	}
--- a/query/run.go
+++ b/query/run.go
@@ -19,6 +19,7 @@
 	results chan *targets.Call
 	sends   int
 	missing []string // Shards without a part, for the log.
+	story   []decision
 }
 
 // part is the work on one shard, or on the one service of a route.
@@ -71,6 +72,13 @@
 	p.open++
 	p.mayRun++
 	r.sends++
+	switch purpose {
+	case targets.Retry:
+		r.note("retried", p.service, "", "the call before failed")
+	case targets.Hedge:
+		r.note("hedged", p.service, "", "no answer for "+r.hedgeAfter.Round(time.Millisecond).String())
+	case targets.First, targets.Resend:
+	}
 	return true
 }
 
--- a/query/single.go
+++ b/query/single.go
@@ -27,6 +27,7 @@
 		select {
 		case c := <-r.results:
 			p.take(c)
+			r.noteResult(p, c)
 			if p.answer != nil {
 				kept = p.answer
 				return r.relay(p, kept)
@@ -42,6 +43,7 @@
 		case <-timer.C():
 			now = r.clock.Now()
 			if !now.Before(r.end) {
+				r.noteSilent([]*part{p})
 				return r.overdue(p)
 			}
 			r.hedgeSingle(p, now)
--- a/targets/dispatch.go
+++ b/targets/dispatch.go
@@ -120,6 +120,17 @@
 	return c.sent, c.state == callSent
 }
 
+// Placed returns the target of a call, when it got it, and whether it still has
+// to answer.
+func (g *Group) Placed(c *Call) (target string, sent time.Time, open bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if c.state != callSent {
+		return "", time.Time{}, false
+	}
+	return c.target.entry.id, c.sent, true
+}
+
 func (g *Group) assign(c *Call, t *Target, conn *conn, now time.Time) transmission {
 	c.state, c.target, c.conn, c.sent = callSent, t, conn, now
 	conn.call = c
