--- a/targets/dispatch.go
+++ b/targets/dispatch.go
@@ -74,6 +74,9 @@
 			continue
 		}
 		waitFor = t
+		if t.crowded(now) {
+			continue
+		}
 		if now.Before(t.coldTill) && !t.cold.ready(now, g.coldRate, g.daemons) {
 			continue
 		}
--- a/targets/group_test.go
+++ b/targets/group_test.go
@@ -173,3 +173,33 @@
 		}
 	})
 }
+
+// Guards against queues at a slow target in which requests wait until after
+// their objective. Seen in incident inc-aa96 of the smaller site.
+func TestSlowTargetGetsOneRequestAtATime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(1, sound())
+		defer w.close()
+		for i := range 20 {
+			w.send(fmt.Sprintf("q%d", i), true)
+		}
+		w.targets[0].Become(sound(shards.Slow(20)))
+		for i := range 6 {
+			w.send(fmt.Sprintf("r%d", i), true)
+		}
+		done := make(chan struct{})
+		for i := range 3 {
+			go func() {
+				w.send(fmt.Sprintf("s%d", i), true)
+				done <- struct{}{}
+			}()
+		}
+		time.Sleep(10 * time.Millisecond)
+		if n := w.group.InFlight(); n != 1 {
+			t.Errorf("%d requests at a target that is 20 times as slow as usual, want 1", n)
+		}
+		for range 3 {
+			<-done
+		}
+	})
+}
--- a/targets/target.go
+++ b/targets/target.go
@@ -22,6 +22,8 @@
 	// silentFactor is how many usual latencies a request may be out before its
 	// target counts as slow because of it.
 	silentFactor = 2
+	// crowdedFrom is the slowness from which a target gets one request at a time.
+	crowdedFrom = 4
 	// farCost is the cost of a target in another failure domain, in usual
 	// latencies. It decides among targets that are otherwise alike.
 	farCost = 0.25
@@ -99,6 +101,17 @@
 	return cost
 }
 
+// crowded reports whether a further request would only wait at the target. A
+// slow one gets one request at a time from each daemon; the others wait here,
+// where they can still go elsewhere or be withdrawn.
+func (t *Target) crowded(now time.Time) bool {
+	if len(t.calls) == 0 {
+		return false
+	}
+	slowness, _ := t.decayed(now)
+	return slowness > crowdedFrom
+}
+
 // idle returns the connection that was used last and may carry a request, or nil.
 func (t *Target) idle(now time.Time, idempotent bool) *conn {
 	var best *conn
