--- a/command/cli.go
+++ b/command/cli.go
@@ -16,6 +16,7 @@
 	Status    statusCommand    `cmd:"" help:"Show the status of daemons."`
 	Addresses addressesCommand `cmd:"" help:"Show the addresses that callers are told to use."`
 	Query     queryCommand     `cmd:"" help:"Send one request as a caller."`
+	Explain   explainCommand   `cmd:"" help:"Tell from logs what happened to a request."`
 	Version   versionCommand   `cmd:"" help:"Show the version of this binary."`
 }
 
