query, targets, admission: requests that crash targets are refused on every daemon

Change: a target that breaks its connections and then accepts none has crashed; the requests under way become suspects, run on one target first, and are refused after a second crash. An answered suspect is cleared, so bystanders of another crash are served. Heartbeats spread the strikes.

--- a/admission/suspects.go
+++ b/admission/suspects.go
@@ -57,6 +57,24 @@
 // CrashedAgain records a crash under a suspect.
 func (s *Suspects) CrashedAgain(fingerprint uint64) { s.record(fingerprint, secondCrash) }
 
+// Cleared forgets a fingerprint whose request was answered, so that requests
+// that only were under way when a searcher crashed are served as before.
+// Strikes of before that other daemons still spread are ignored.
+func (s *Suspects) Cleared(fingerprint uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, ok := s.table[fingerprint]; ok {
+		s.table[fingerprint] = strike{at: s.clk.Boot()}
+	}
+}
+
+// Age returns the time since the latest crash of a fingerprint.
+func (s *Suspects) Age(fingerprint uint64) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.clk.Boot() - s.table[fingerprint].at
+}
+
 func (s *Suspects) record(fingerprint uint64, crashes uint32) {
 	meter.Count("admission.strike", 1)
 	if s.raise(fingerprint, crashes, 0) {
@@ -82,13 +100,15 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	have := s.liveLocked(fingerprint)
-	if have.crashes >= crashes {
+	at := s.clk.Boot() - age
+	cleared := have.crashes == 0 && have.at > 0 && at <= have.at
+	if have.crashes >= crashes || cleared {
 		return false
 	}
 	if len(s.table) >= maxSuspects {
 		s.evictLocked()
 	}
-	s.table[fingerprint] = strike{crashes: crashes, at: s.clk.Boot() - age}
+	s.table[fingerprint] = strike{crashes: crashes, at: at}
 	invariant.Check("admission.suspects_bounded", len(s.table) <= maxSuspects, "%d suspects", len(s.table))
 	return true
 }
@@ -129,7 +149,7 @@
 		if len(list) == limit {
 			break
 		}
-		if now-k.at < strikeTime {
+		if k.crashes > 0 && now-k.at < strikeTime {
 			list = append(list, &peerpb.CrashStrike{Fingerprint: f, Crashes: k.crashes, AgeMs: (now - k.at).Milliseconds()})
 		}
 	}
--- a/fleet/member.go
+++ b/fleet/member.go
@@ -18,6 +18,7 @@
 	storeAge    time.Duration
 	versions    map[string]uint64
 	moves       []*mirrorpb.MoveEvidence
+	strikes     []*mirrorpb.Strike
 	heard       time.Time
 }
 
@@ -47,3 +48,6 @@
 
 // Moves returns what the daemon saw of services that move to another version.
 func (m Member) Moves() []*mirrorpb.MoveEvidence { return m.moves }
+
+// Strikes returns requests that crashed targets, as the daemon knows them.
+func (m Member) Strikes() []*mirrorpb.Strike { return m.strikes }
--- a/node/daemon.go
+++ b/node/daemon.go
@@ -15,11 +15,13 @@
 	"github.com/rotisserie/eris"
 	"github.com/rs/zerolog"
 
+	"medlaryard.example/medlaryard/admission"
 	"medlaryard.example/medlaryard/clock"
 	"medlaryard.example/medlaryard/fleet"
 	"medlaryard.example/medlaryard/meter"
 	"medlaryard.example/medlaryard/mirror"
 	"medlaryard.example/medlaryard/mirror/mirrorpb"
+	"medlaryard.example/medlaryard/peer/peerpb"
 	"medlaryard.example/medlaryard/platform"
 	"medlaryard.example/medlaryard/query"
 	"medlaryard.example/medlaryard/route"
@@ -71,6 +73,7 @@
 	fleet    *fleet.Fleet
 	serving  *serving
 	engine   *query.Engine
+	suspects *admission.Suspects
 	peers    *http.Client
 
 	incarnation uint64
@@ -137,7 +140,9 @@
 	d.mirror = mirror.New(d.changed, platform.KindConfig, platform.KindTargets, platform.KindMoves, platform.KindEvacuations, platform.KindDaemons)
 	d.serving = newServing(c, s.Name(), func(peer string) time.Time { return d.fleet.Heard(peer) })
 	d.follower = mirror.NewFollower(d.mirror, d.store.Reader(), c, l, d.watches, func() bool { return !d.serving.includesSelf() })
-	d.engine = query.NewEngine(query.Clock(c), query.Log(l), query.Stamp(platform.Stamp), query.Allow(allowed))
+	d.suspects = admission.NewSuspects(c, func([]*peerpb.CrashStrike) {}) // Heartbeats spread the strikes.
+	d.engine = query.NewEngine(query.Clock(c), query.Log(l), query.Stamp(platform.Stamp),
+		query.Allow(allowed), query.Suspects(d.suspects))
 	return d
 }
 
@@ -292,6 +297,7 @@
 		StoreAgeMs: uint32(min(d.follower.StoreAge(), time.Hour).Milliseconds()),
 		Versions:   d.mirror.Versions(),
 		Moves:      d.moveEvidence(),
+		Strikes:    d.strikes(),
 	}
 }
 
@@ -330,8 +336,26 @@
 	return true
 }
 
-// heard fetches changes from a neighbour that has some.
+// maxStrikes is how many strikes a heartbeat carries, at 20 bytes each.
+const maxStrikes = 32
+
+// strikes are the requests that crashed targets, for the heartbeats.
+func (d *Daemon) strikes() []*mirrorpb.Strike {
+	var list []*mirrorpb.Strike
+	for _, s := range d.suspects.Strikes(maxStrikes) {
+		list = append(list, &mirrorpb.Strike{Fingerprint: s.GetFingerprint(), Crashes: s.GetCrashes(), AgeMs: s.GetAgeMs()})
+	}
+	return list
+}
+
+// heard takes in what another daemon knows of requests that crash targets, and
+// fetches changes that it has and this one lacks.
 func (d *Daemon) heard(m fleet.Member) {
+	strikes := make([]*peerpb.CrashStrike, 0, len(m.Strikes()))
+	for _, s := range m.Strikes() {
+		strikes = append(strikes, &peerpb.CrashStrike{Fingerprint: s.GetFingerprint(), Crashes: s.GetCrashes(), AgeMs: s.GetAgeMs()})
+	}
+	d.suspects.Merge(strikes)
 	own := d.mirror.Versions()
 	for kind, v := range m.Versions() {
 		if have, ok := own[kind]; !ok || have < v {
--- a/query/engine.go
+++ b/query/engine.go
@@ -10,8 +10,10 @@
 	"github.com/rs/zerolog"
 	"github.com/valyala/fasthttp"
 
+	"medlaryard.example/medlaryard/admission"
 	"medlaryard.example/medlaryard/clock"
 	"medlaryard.example/medlaryard/meter"
+	"medlaryard.example/medlaryard/peer/peerpb"
 	"medlaryard.example/medlaryard/refusal"
 	"medlaryard.example/medlaryard/route"
 	"medlaryard.example/medlaryard/targets"
@@ -23,6 +25,7 @@
 	log   zerolog.Logger
 	stamp func(*fasthttp.Response) string
 	allow func(*route.Route, targets.Entry) bool
+	crash *admission.Suspects
 
 	table  atomic.Pointer[route.Table]
 	mu     sync.RWMutex
@@ -54,6 +57,9 @@
 // Allow sets which targets may serve a route.
 func Allow(f func(*route.Route, targets.Entry) bool) Option { return func(e *Engine) { e.allow = f } }
 
+// Suspects sets the table of requests that crashed targets.
+func Suspects(s *admission.Suspects) Option { return func(e *Engine) { e.crash = s } }
+
 // NewEngine returns an engine without a configuration; it refuses all requests
 // until Install is called.
 func NewEngine(opts ...Option) *Engine {
@@ -70,6 +76,9 @@
 	for _, o := range opts {
 		o(e)
 	}
+	if e.crash == nil {
+		e.crash = admission.NewSuspects(e.clock, func([]*peerpb.CrashStrike) {})
+	}
 	return e
 }
 
@@ -106,6 +115,28 @@
 	return h
 }
 
+const (
+	// maxCrashes is after how many crashes equal requests are refused.
+	maxCrashes = 2
+	// crashRound is the time within which crashes count as one, since a request
+	// runs on the targets of all shards at once.
+	crashRound = 700 * time.Millisecond
+	// outlawRetry is when a caller may try a refused suspect again.
+	outlawRetry = time.Second
+)
+
+// Crashed notes that a target crashed while it worked on a request.
+func (e *Engine) Crashed(fingerprint uint64) {
+	switch {
+	case e.crash.Crashes(fingerprint) == 0:
+		e.crash.Crashed(fingerprint)
+	case e.crash.Age(fingerprint) > crashRound:
+		e.crash.CrashedAgain(fingerprint)
+	}
+	e.log.Warn().Uint64("fingerprint", fingerprint).Int("crashes", e.crash.Crashes(fingerprint)).
+		Msg("target crashed while it worked on a request")
+}
+
 // Do answers one request of a caller that waits for patience. It returns early
 // when ctx ends because the caller has left.
 func (e *Engine) Do(ctx context.Context, t *route.Table, r *route.Route, send *targets.Request, started time.Time, patience time.Duration) Answer {
@@ -116,7 +147,10 @@
 		schedule: newSchedule(r, started, patience, elapsed, h.pace.Median()),
 	}
 	var a Answer
-	if r.Sharded() {
+	req.suspect = e.crash.Crashes(send.Fingerprint())
+	if req.suspect >= maxCrashes {
+		a = refuse(refusal.Poisoned, outlawRetry, "equal requests crashed targets twice")
+	} else if r.Sharded() {
 		a = req.gather(ctx)
 	} else {
 		a = req.single(ctx, r.NextService())
--- a/query/gather.go
+++ b/query/gather.go
@@ -34,11 +34,7 @@
 	}
 	r.results = make(chan *targets.Call, len(names)*maxSends)
 	now := r.clock.Now()
-	for i, p := range parts {
-		if p.group != nil {
-			r.attempt(p, i, now, false)
-		}
-	}
+	r.sendAll(parts, now)
 	callerLeft := true
 	defer func() {
 		for _, p := range parts {
@@ -61,7 +57,7 @@
 		}
 		select {
 		case c := <-r.results:
-			r.take(parts[c.Tag()], c)
+			r.take(parts, c)
 			r.drain(parts)
 		case <-timer.C():
 			now = r.clock.Now()
@@ -79,7 +75,7 @@
 	for {
 		select {
 		case c := <-r.results:
-			r.take(parts[c.Tag()], c)
+			r.take(parts, c)
 		default:
 			return
 		}
@@ -87,9 +83,14 @@
 }
 
 // take accounts for a result and tries another target after a failure.
-func (r *run) take(p *part, c *targets.Call) {
+func (r *run) take(parts []*part, c *targets.Call) {
+	p := parts[c.Tag()]
 	p.take(c)
 	r.noteResult(p, c)
+	if r.suspect > 0 {
+		r.takeSuspect(parts, p)
+		return
+	}
 	if p.answer != nil || p.open > 0 {
 		return
 	}
@@ -101,6 +102,32 @@
 	}
 }
 
+// sendAll sends all parts that were not sent yet. A suspect goes to one shard
+// first; the others follow once that has answered.
+func (r *run) sendAll(parts []*part, now time.Time) {
+	for i, p := range parts {
+		if p.group == nil || len(p.calls) > 0 {
+			continue
+		}
+		if r.attempt(p, i, now, false) && r.suspect > 0 {
+			return
+		}
+	}
+}
+
+// takeSuspect clears a suspect that a target has answered and sends its other
+// parts. One that was not answered is given up.
+func (r *run) takeSuspect(parts []*part, p *part) {
+	now := r.clock.Now()
+	if p.answer == nil {
+		r.end = now
+		return
+	}
+	r.suspect = 0
+	r.crash.Cleared(r.send.Fingerprint())
+	r.sendAll(parts, now)
+}
+
 // hedge sends parts whose target is silent for too long to another target, and
 // parts without any target once more.
 func (r *run) hedge(parts []*part, now time.Time) {
@@ -109,7 +136,7 @@
 			continue
 		}
 		if p.open == 0 {
-			if now.Sub(p.tried) >= recheck {
+			if r.suspect == 0 && now.Sub(p.tried) >= recheck {
 				r.attempt(p, i, now, false)
 			}
 			continue
@@ -136,7 +163,7 @@
 			continue
 		}
 		t := now.Add(recheck)
-		if p.open == 1 && p.mayRun < r.route.MaxTargets() {
+		if p.open == 1 && p.mayRun < r.maxTargets() {
 			t = r.hedgeTime(p)
 			if !t.After(now) {
 				t = now.Add(recheck) // The budget was spent, or the call waits.
--- a/query/load_test.go
+++ b/query/load_test.go
@@ -264,3 +264,62 @@
 		}
 	})
 }
+
+// Guards against a request that crashes every target that runs it, sent again
+// and again by its caller until no target is left.
+func TestPoisonRequestIsRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 9, 4, sound(shards.Crashing("poison")))
+		defer w.close()
+		crashes := func() int {
+			n := 0
+			for _, ts := range w.targets {
+				for _, tgt := range ts {
+					n += tgt.Crashes()
+				}
+			}
+			return n
+		}
+		w.ask(context.Background(), "poison")
+		first := crashes()
+		for range 20 {
+			time.Sleep(4 * time.Second) // The crashed targets are back.
+			w.ask(context.Background(), "poison")
+		}
+		if again := crashes() - first; again > 1 {
+			t.Errorf("the repeated request crashed %d more targets, want 1", again)
+		}
+		r := w.ask(context.Background(), "poison")
+		if f := r.answer.Refusal(); f == nil || f.Kind() != "poisoned" {
+			t.Errorf("refusal %v, want poisoned", f)
+		}
+		if r := w.ask(context.Background(), "other"); r.parts != 4 {
+			t.Errorf("another request has %d parts, want 4", r.parts)
+		}
+	})
+}
+
+// Guards against requests that are refused because they were under way when
+// targets crashed for another reason.
+func TestBystandersOfACrashAreServed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 10, 4, sound())
+		defer w.close()
+		for range 5 {
+			time.AfterFunc(5*time.Millisecond, func() {
+				for _, ts := range w.targets {
+					ts[0].Become(sound(shards.Down()))
+				}
+			})
+			w.ask(context.Background(), "bystander")
+			time.Sleep(time.Second)
+			for _, ts := range w.targets {
+				ts[0].Become(sound())
+			}
+			time.Sleep(2 * time.Second)
+			if r := w.ask(context.Background(), "bystander"); r.parts != 4 {
+				t.Errorf("%d parts after the targets are back, refusal %v; want 4", r.parts, r.answer.Refusal())
+			}
+		}
+	})
+}
--- a/query/run.go
+++ b/query/run.go
@@ -18,6 +18,7 @@
 	started time.Time
 	results chan *targets.Call
 	sends   int
+	suspect int      // Crashes that equal requests are held responsible for.
 	missing []string // Shards without a part, for the log.
 	story   []decision
 }
@@ -41,7 +42,7 @@
 
 // attempt sends the part to another target. A hedge runs beside an earlier call.
 func (r *run) attempt(p *part, tag int, now time.Time, hedge bool) bool {
-	if p.mayRun >= r.route.MaxTargets() || p.refused > maxRefused {
+	if p.mayRun >= r.maxTargets() || p.refused > maxRefused {
 		return false
 	}
 	purpose := targets.First
@@ -82,6 +83,15 @@
 	return true
 }
 
+// maxTargets is on how many targets of a service the request may run. A suspect
+// runs on one.
+func (r *run) maxTargets() int {
+	if r.suspect > 0 {
+		return 1
+	}
+	return r.route.MaxTargets()
+}
+
 // take accounts for the result of a call.
 func (p *part) take(c *targets.Call) {
 	p.open--
--- a/query/single.go
+++ b/query/single.go
@@ -29,6 +29,9 @@
 			p.take(c)
 			r.noteResult(p, c)
 			if p.answer != nil {
+				if r.suspect > 0 {
+					r.crash.Cleared(r.send.Fingerprint())
+				}
 				kept = p.answer
 				return r.relay(p, kept)
 			}
@@ -78,7 +81,7 @@
 }
 
 func (r *run) nextHedge(p *part, now time.Time) time.Time {
-	if !r.route.Idempotent() || p.mayRun >= r.route.MaxTargets() {
+	if !r.route.Idempotent() || p.mayRun >= r.maxTargets() {
 		return r.end
 	}
 	t := p.tried.Add(r.hedgeAfter)
--- a/query/world_test.go
+++ b/query/world_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"medlaryard.example/medlaryard/clock"
 	"medlaryard.example/medlaryard/platform"
 	"medlaryard.example/medlaryard/query"
 	"medlaryard.example/medlaryard/route"
@@ -26,6 +27,12 @@
 	table    *route.Table
 }
 
+// simulated is the clock of simulated time.
+type simulated struct{ clock.System }
+
+// Boot returns the simulated time since an arbitrary moment.
+func (simulated) Boot() time.Duration { return time.Duration(time.Now().UnixNano()) }
+
 // newWorld starts a service of so many shards with two targets each.
 func newWorld(t *testing.T, seed int64, count int, b shards.Behaviour, opts ...route.Option) *world {
 	t.Helper()
@@ -47,14 +54,15 @@
 	}, opts...)
 	w.route = route.New("match", "songs.example", "/match/", opts...)
 	w.table = route.NewTable(1, []*route.Route{w.route}, services, route.Limits{})
-	w.engine = query.NewEngine(query.Stamp(platform.Stamp))
+	w.engine = query.NewEngine(query.Stamp(platform.Stamp), query.Clock(simulated{}))
 	w.engine.Install(w.table, w.groups)
 	time.Sleep(100 * time.Millisecond) // The first connections are made.
 	return w
 }
 
 func (w *world) add(name string, b shards.Behaviour) {
-	g := targets.NewGroup(name, platform.TargetProtocol(), targets.Dial(w.emulator.Dial), targets.Near("a"))
+	g := targets.NewGroup(name, platform.TargetProtocol(), targets.Dial(w.emulator.Dial), targets.Near("a"),
+		targets.OnCrash(func(fingerprint uint64) { w.engine.Crashed(fingerprint) }))
 	g.Resize(targets.NewSizing(3, 0, targets.NewBudgetLimits(0.2, 54, 1), true))
 	var entries []targets.Entry
 	for i, zone := range []string{"a", "b"} {
--- a/standin/shards/behaviour.go
+++ b/standin/shards/behaviour.go
@@ -20,6 +20,7 @@
 	down      bool
 	silent    bool
 	handshake time.Duration
+	poison    string
 }
 
 // Option sets one property of a Behaviour.
@@ -84,3 +85,6 @@
 
 // Handshake sets the time that a new connection takes.
 func Handshake(d time.Duration) Option { return func(b *Behaviour) { b.handshake = d } }
+
+// Crashing makes requests whose path holds text crash the target for 3 s.
+func Crashing(text string) Option { return func(b *Behaviour) { b.poison = text } }
--- a/standin/shards/target.go
+++ b/standin/shards/target.go
@@ -9,6 +9,7 @@
 	"math"
 	"math/rand"
 	"net"
+	"strings"
 	"sync"
 	"time"
 
@@ -29,6 +30,7 @@
 	waiting  int
 	ran      map[string]int // Runs by request id.
 	refused  int
+	crashes  int
 	peak     int // The most connections at once.
 	accepted int
 }
@@ -176,6 +178,11 @@
 		t.mu.Unlock()
 		return write(conn, "HTTP/1.1 503 Service Unavailable\r\nX-Medlaryard-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n")
 	}
+	if b.poison != "" && strings.Contains(string(req.RequestURI()), b.poison) {
+		t.crash(b)
+		t.leave()
+		return false
+	}
 	t.work(b, id)
 	t.leave()
 	if b = t.behaviour(); b.dark || b.silent {
@@ -210,6 +217,23 @@
 	return true
 }
 
+// crash ends all connections and accepts none for a while.
+func (t *Target) crash(b Behaviour) {
+	const restart = 3 * time.Second
+	t.mu.Lock()
+	t.crashes++
+	t.mu.Unlock()
+	t.Become(b.With(Down()))
+	time.AfterFunc(restart, func() { t.Become(b) })
+}
+
+// Crashes returns how often a request crashed the target.
+func (t *Target) Crashes() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.crashes
+}
+
 func (t *Target) leave() {
 	<-t.free
 	t.mu.Lock()
--- a/targets/group.go
+++ b/targets/group.go
@@ -25,6 +25,9 @@
 	patience = 350 * time.Millisecond
 	// patienceFactor is that time in usual latencies.
 	patienceFactor = 8
+	// crashWindow is the time between broken connections and a refused one
+	// within which a target has crashed.
+	crashWindow = 500 * time.Millisecond
 	// spareIdle is how long an idle connection beyond the first is kept.
 	spareIdle = 4 * time.Second
 	// callerGrace is how long a request whose caller has left may still be
@@ -39,6 +42,7 @@
 	clock    clock.Clock
 	dial     func(ctx context.Context, address string) (net.Conn, error)
 	zone     string
+	onCrash  func(fingerprint uint64)
 	log      zerolog.Logger
 
 	mu       sync.Mutex
@@ -57,7 +61,7 @@
 
 // NewGroup returns the group of a service without targets.
 func NewGroup(service string, p Protocol, opts ...Option) *Group {
-	g := &Group{service: service, protocol: p, clock: clock.System{}, limit: 1, daemons: 1, log: zerolog.Nop()}
+	g := &Group{service: service, protocol: p, clock: clock.System{}, limit: 1, daemons: 1, onCrash: func(uint64) {}, log: zerolog.Nop()}
 	g.dial = func(ctx context.Context, address string) (net.Conn, error) {
 		return new(net.Dialer).DialContext(ctx, "tcp", address)
 	}
@@ -258,12 +262,25 @@
 	meter.Count("target.unreachable", 1)
 	if !t.down {
 		g.log.Warn().Str("service", g.service).Str("target", t.entry.id).Err(err).Msg("target does not accept connections")
+		g.reportCrash(t)
 	}
 	t.down = true
 	t.refused++
 	g.retryLater(t)
 }
 
+// reportCrash tells which requests were under way at a target that broke its
+// connections and then accepts none.
+func (g *Group) reportCrash(t *Target) {
+	if g.clock.Now().Sub(t.broke) > crashWindow {
+		return
+	}
+	for _, print := range t.suspects {
+		g.onCrash(print)
+	}
+	t.suspects = nil
+}
+
 // retryLater tries to connect to a target again after a growing delay.
 func (g *Group) retryLater(t *Target) {
 	if t.gone || g.closed || t.dialing > 0 {
--- a/targets/option.go
+++ b/targets/option.go
@@ -23,5 +23,9 @@
 // Near names the failure domain of this daemon, whose targets are preferred.
 func Near(zone string) Option { return func(g *Group) { g.zone = zone } }
 
+// OnCrash sets what is called with the fingerprint of each request that was
+// under way when a target crashed. It must not block.
+func OnCrash(f func(fingerprint uint64)) Option { return func(g *Group) { g.onCrash = f } }
+
 // Log sets where state changes of targets are logged.
 func Log(l zerolog.Logger) Option { return func(g *Group) { g.log = l } }
--- a/targets/request.go
+++ b/targets/request.go
@@ -1,6 +1,10 @@
 package targets
 
-import "time"
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
 
 // Request is one request of a caller, as it is sent to targets.
 type Request struct {
@@ -12,6 +16,7 @@
 	body       []byte
 	idempotent bool
 	deadline   time.Time
+	print      uint64
 }
 
 // Field is one header field.
@@ -20,12 +25,22 @@
 // NewRequest returns the request of that id. Deadline is the time, on the
 // daemon's monotonic clock, until which the caller waits.
 func NewRequest(id, method, uri, host string, header []Field, body []byte, idempotent bool, deadline time.Time) *Request {
+	h := xxhash.New()
+	for _, s := range []string{method, host, uri} {
+		_, _ = h.WriteString(s) // It never fails.
+		_, _ = h.Write([]byte{0})
+	}
+	_, _ = h.Write(body)
 	return &Request{
 		id: id, method: method, uri: uri, host: host, header: header, body: body,
-		idempotent: idempotent, deadline: deadline,
+		idempotent: idempotent, deadline: deadline, print: h.Sum64(),
 	}
 }
 
+// Fingerprint is equal for requests with equal method, host, path and body,
+// whatever their ids are.
+func (r *Request) Fingerprint() uint64 { return r.print }
+
 // ID returns the id that the caller gave the request.
 func (r *Request) ID() string { return r.id }
 
--- a/targets/target.go
+++ b/targets/target.go
@@ -53,6 +53,9 @@
 	retry   time.Time // When a connection may be tried again after a failure.
 	refused int       // Attempts to connect that failed in a row.
 
+	suspects []uint64  // Requests whose connections broke last, by fingerprint.
+	broke    time.Time // When they broke.
+
 	slowness float64
 	failures float64
 	observed time.Time
@@ -142,6 +145,21 @@
 	return oldest
 }
 
+// maxSuspects bounds the requests that are kept for a crash; a target has fewer
+// connections than that.
+const maxSuspects = 16
+
+// suspect keeps a request whose connection broke, in case the target crashed.
+func (t *Target) suspect(print uint64, now time.Time) {
+	if now.Sub(t.broke) > crashWindow {
+		t.suspects = nil
+	}
+	t.broke = now
+	if len(t.suspects) < maxSuspects {
+		t.suspects = append(t.suspects, print)
+	}
+}
+
 func (t *Target) removeConn(c *conn) {
 	for i, other := range t.conns {
 		if other == c {
