mirror, node: daemons start although the store is slow

Change: the first reading has 10 s and is tried once more each 0.7 s beside those under way; other readings have 2 s, doubled after each failure. Test: TestStartWithASlowStore, fails before.

--- a/mirror/follower.go
+++ b/mirror/follower.go
@@ -14,9 +14,15 @@
 )
 
 const (
-	// callTimeout is long against a store that answers in milliseconds, and
-	// short against the seconds within which a change must be in force.
-	callTimeout = 900 * time.Millisecond
+	// callTimeout is long against a store that answers in milliseconds or, when
+	// it is slow, in some hundreds of them.
+	callTimeout = 2 * time.Second
+	// firstTimeout bounds the first reading, which a daemon cannot do without:
+	// several pages of a store that takes over a second for each.
+	firstTimeout = 10 * time.Second
+	// firstEvery is after how long the first reading is tried once more beside
+	// those under way, since their connections may be silent.
+	firstEvery = 700 * time.Millisecond
 	// maxWait is how long a watch waits for a change at most. One that has gone
 	// silent is found by the connection's probes before.
 	maxWait = 10 * time.Second
@@ -113,7 +119,7 @@
 func (f *Follower) Connected() bool { return f.connected.Load() }
 
 func (f *Follower) follow(ctx context.Context, k Kind) {
-	delay := firstDelay
+	delay, timeout := firstDelay, callTimeout
 	var listed time.Duration
 	fresh := false
 	for ctx.Err() == nil {
@@ -126,10 +132,14 @@
 			continue
 		}
 		var err error
-		if _, known := f.mirror.Cursor(k.name); !known || !fresh || f.clock.Boot()-listed >= k.reread {
-			err = f.list(ctx, k.name)
+		switch {
+		case !known:
+			err = f.first(ctx, k.name)
 			fresh, listed = err == nil, f.clock.Boot()
-		} else {
+		case !fresh || f.clock.Boot()-listed >= k.reread:
+			err = f.list(ctx, k.name, timeout)
+			fresh, listed = err == nil, f.clock.Boot()
+		default:
 			var events int
 			events, err = f.watch(ctx, k.name, min(maxWait, k.reread))
 			fresh = err == nil
@@ -137,11 +147,15 @@
 				_ = clock.Sleep(ctx, f.clock, k.gather) // Ends early only with ctx.
 			}
 		}
+		if errors.Is(err, errLearned) {
+			continue
+		}
 		f.note(err)
 		if err == nil {
-			delay = firstDelay
+			delay, timeout = firstDelay, callTimeout
 			continue
 		}
+		timeout = min(2*timeout, firstTimeout) // The store may only be slow.
 		meter.Count("mirror.store.failed", 1)
 		f.log.Debug().Err(err).Str("kind", k.name).Dur("delay", delay).Msg("reading the store failed")
 		_ = clock.Sleep(ctx, f.clock, delay) // Ends early only with ctx.
@@ -149,8 +163,47 @@
 	}
 }
 
-func (f *Follower) list(ctx context.Context, kind string) error {
-	ctx, cancel := clock.WithDeadline(ctx, f.clock, f.clock.Boot()+callTimeout)
+// first reads a kind for the first time. It starts another reading from time to
+// time and returns with the first that succeeds or once the kind is known from a
+// neighbour.
+func (f *Follower) first(ctx context.Context, kind string) error {
+	ctx, cancel := clock.WithDeadline(ctx, f.clock, f.clock.Boot()+firstTimeout)
+	defer cancel()
+	results := make(chan error, 1+int(firstTimeout/firstEvery))
+	read := func() {
+		f.wg.Add(1)
+		go func() {
+			defer f.wg.Done()
+			results <- f.list(ctx, kind, firstTimeout)
+		}()
+	}
+	read()
+	for open := 1; ; {
+		t := f.clock.NewTimer(firstEvery)
+		select {
+		case err := <-results:
+			t.Stop()
+			if open--; err == nil || open == 0 {
+				return err
+			}
+		case <-t.C():
+			if f.mirror.Known(kind) {
+				return errLearned
+			}
+			open++
+			read()
+		case <-ctx.Done():
+			t.Stop()
+			return ctx.Err()
+		}
+	}
+}
+
+// errLearned is the end of a first reading because a neighbour was faster.
+var errLearned = errors.New("the objects are known from a neighbour")
+
+func (f *Follower) list(ctx context.Context, kind string, timeout time.Duration) error {
+	ctx, cancel := clock.WithDeadline(ctx, f.clock, f.clock.Boot()+timeout)
 	defer cancel()
 	objects, at, err := f.store.List(ctx, kind)
 	if err != nil {
--- a/node/daemon.go
+++ b/node/daemon.go
@@ -43,6 +43,8 @@
 	resizeEvery = time.Second
 	// registerDelay is the pause before the registration is tried again.
 	registerDelay = 500 * time.Millisecond
+	// registerTimeout leaves a slow store the time to answer.
+	registerTimeout = 5 * time.Second
 	// peerProbeIdle finds connections between daemons that have gone silent.
 	peerProbeIdle = time.Second
 	// seedWait is how long a daemon waits for others to tell it what the store
@@ -277,7 +279,7 @@
 func (d *Daemon) join(ctx context.Context) {
 	self := fleet.NewCandidate(d.settings.Name(), d.settings.Zone(), d.settings.PeerAddress(), d.settings.Capacity())
 	for ctx.Err() == nil {
-		call, cancel := context.WithTimeout(ctx, 2*registerDelay)
+		call, cancel := context.WithTimeout(ctx, registerTimeout)
 		err := d.store.Register(call, self)
 		cancel()
 		if err == nil {
--- /dev/null
+++ b/node/slow_test.go
@@ -0,0 +1,31 @@
+package node
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"medlaryard.example/medlaryard/standin/metastore"
+)
+
+// Guards against daemons that give up each call to a slow store before it
+// answers, and so never learn the configuration after they all started anew.
+// Found on a day that was drawn with the score of tamasha-yard-grown
+// (fresh-7e39).
+func TestStartWithASlowStore(t *testing.T) {
+	c := newCluster(t, 2, 1)
+	for _, d := range c.daemons {
+		d.stop()
+		if err := <-d.done; err != nil {
+			t.Error(err)
+		}
+		d.done <- nil
+	}
+	c.store.Inject(metastore.Slow(2500 * time.Millisecond))
+	c.daemons = []*running{c.run("127.0.77.1"), c.run("127.0.77.2")}
+	for _, d := range c.daemons {
+		c.eventually("the daemon serves", func() bool {
+			return c.ready(d.ip) && c.send(d.ip, "GET", "/match/1", "s"+d.ip, "").status == http.StatusOK
+		})
+	}
+}
