--- a/command/node.go
+++ b/command/node.go
@@ -51,8 +51,31 @@
 	log := zerolog.New(out).Level(level).With().Timestamp().Str("daemon", s.Name()).Logger()
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	// SIGHUP announces changed settings. None of them changes while a daemon
-	// runs but the addresses to start from, which are only used at the start.
-	signal.Ignore(syscall.SIGHUP)
+	stopReload := watchSettings(path, log)
+	defer stopReload()
 	return node.Run(ctx, s, env.Clock, log)
 }
+
+// watchSettings checks the settings file on SIGHUP and logs the result. New
+// settings take effect at the next start, because listeners and the store's
+// address do not change while a daemon runs.
+func watchSettings(path string, log zerolog.Logger) (stop func()) {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for range hangups {
+			if _, err := node.LoadSettings(path); err != nil {
+				log.Warn().Err(err).Msg("settings file is faulty; the settings in force stay")
+				continue
+			}
+			log.Info().Str("file", path).Msg("settings file is sound; it takes effect at the next start")
+		}
+	}()
+	return func() {
+		signal.Stop(hangups)
+		close(hangups)
+		<-done
+	}
+}
--- a/targets/answer.go
+++ b/targets/answer.go
@@ -116,7 +116,7 @@
 	g.drop(conn)
 	if c != nil {
 		t.removeCall(c)
-		t.suspect(c.req.print, now)
+		t.suspect(c.req.fingerprint, now)
 		if c.state == callSent {
 			g.learn(c, now, Broken)
 		}
--- a/targets/connect.go
+++ b/targets/connect.go
@@ -132,8 +132,8 @@
 	if g.clock.Now().Sub(t.broke) > crashWindow {
 		return
 	}
-	for _, print := range t.suspects {
-		g.onCrash(print)
+	for _, fingerprint := range t.suspects {
+		g.onCrash(fingerprint)
 	}
 	t.suspects = nil
 }
--- a/targets/request.go
+++ b/targets/request.go
@@ -8,15 +8,15 @@
 
 // Request is one request of a caller, as it is sent to targets.
 type Request struct {
-	id         string
-	method     string
-	uri        string
-	host       string
-	header     []Field
-	body       []byte
-	idempotent bool
-	deadline   time.Time
-	print      uint64
+	id          string
+	method      string
+	uri         string
+	host        string
+	header      []Field
+	body        []byte
+	idempotent  bool
+	deadline    time.Time
+	fingerprint uint64
 }
 
 // Field is one header field.
@@ -33,13 +33,13 @@
 	_, _ = h.Write(body)
 	return &Request{
 		id: id, method: method, uri: uri, host: host, header: header, body: body,
-		idempotent: idempotent, deadline: deadline, print: h.Sum64(),
+		idempotent: idempotent, deadline: deadline, fingerprint: h.Sum64(),
 	}
 }
 
 // Fingerprint is equal for requests with equal method, host, path and body,
 // whatever their ids are.
-func (r *Request) Fingerprint() uint64 { return r.print }
+func (r *Request) Fingerprint() uint64 { return r.fingerprint }
 
 // ID returns the id that the caller gave the request.
 func (r *Request) ID() string { return r.id }
--- a/targets/target.go
+++ b/targets/target.go
@@ -150,13 +150,13 @@
 const maxSuspects = 16
 
 // suspect keeps a request whose connection broke, in case the target crashed.
-func (t *Target) suspect(print uint64, now time.Time) {
+func (t *Target) suspect(fingerprint uint64, now time.Time) {
 	if now.Sub(t.broke) > crashWindow {
 		t.suspects = nil
 	}
 	t.broke = now
 	if len(t.suspects) < maxSuspects {
-		t.suspects = append(t.suspects, print)
+		t.suspects = append(t.suspects, fingerprint)
 	}
 }
 
