--- a/meter/sample.go
+++ b/meter/sample.go
@@ -24,3 +24,7 @@
 func newHistogram() metrics.Histogram {
 	return metrics.NewHistogram(metrics.NewExpDecaySample(sampleSize, sampleDecay))
 }
+
+// Forget drops the metric of that name, for example that of a route that is
+// gone.
+func Forget(name string) { metrics.DefaultRegistry.Unregister(name) }
--- a/node/roster.go
+++ b/node/roster.go
@@ -34,18 +34,19 @@
 // update takes in all entries of the store.
 func (r *roster) update(targets []platform.Target, now time.Time) {
 	present := make(map[string]bool, len(targets))
+	faulty := make(map[string]bool)
 	for _, t := range targets {
 		if t.Err() != nil {
+			faulty[t.Name()] = true
 			if !r.faulty[t.Name()] {
-				r.faulty[t.Name()] = true
 				r.log.Warn().Err(t.Err()).Str("entry", t.Name()).Msg("entry names no target")
 			}
 			continue
 		}
-		delete(r.faulty, t.Name())
 		present[t.Name()] = true
 		r.known[t.Name()] = &listed{entry: t.Entry()}
 	}
+	r.faulty = faulty
 	for name, l := range r.known {
 		if !present[name] && l.vanished.IsZero() {
 			l.vanished = now
--- a/query/engine.go
+++ b/query/engine.go
@@ -89,10 +89,19 @@
 func (e *Engine) Install(t *route.Table, groups map[string]*targets.Group) {
 	e.mu.Lock()
 	e.groups = groups
+	for name := range e.habits {
+		if !t.HasRoute(name) {
+			delete(e.habits, name)
+			meter.Forget(latencyMetric(name))
+		}
+	}
 	e.mu.Unlock()
 	e.table.Store(t)
 }
 
+// latencyMetric is the name of the latency histogram of a route.
+func latencyMetric(route string) string { return "query.latency." + route }
+
 func (e *Engine) group(service string) *targets.Group {
 	e.mu.RLock()
 	defer e.mu.RUnlock()
@@ -163,7 +172,7 @@
 // parts or missed their objective are logged with the decisions about them.
 func (e *Engine) account(r *run, a Answer, version uint64) {
 	took := e.clock.Now().Sub(r.started)
-	meter.Latency("query.latency."+r.route.Name(), took)
+	meter.Latency(latencyMetric(r.route.Name()), took)
 	outcome, missing := "answered", 0
 	switch {
 	case a.refusal != nil:
--- a/route/table.go
+++ b/route/table.go
@@ -12,6 +12,7 @@
 	limits   Limits
 	hosts    map[string][]*Route
 	services map[string]*Service
+	names    map[string]bool // Names of all routes.
 }
 
 // NewTable returns the configuration of that version.
@@ -21,8 +22,10 @@
 		limits:   limits,
 		hosts:    make(map[string][]*Route),
 		services: make(map[string]*Service, len(services)),
+		names:    make(map[string]bool, len(routes)),
 	}
 	for _, r := range routes {
+		t.names[r.name] = true
 		t.hosts[r.host] = append(t.hosts[r.host], r)
 	}
 	for _, rs := range t.hosts {
@@ -47,6 +50,9 @@
 // Services returns all services by name.
 func (t *Table) Services() map[string]*Service { return t.services }
 
+// HasRoute reports whether there is a route of that name.
+func (t *Table) HasRoute(name string) bool { return t.names[name] }
+
 // Match returns the route of host with the longest prefix of path, or nil.
 func (t *Table) Match(host, path string) *Route {
 	for _, r := range t.hosts[host] {
