targets: identity and address of a target are read without a race

Both hold the same address, so nothing wrong was sent. Change: identity and address are fields that never change. Test: TestEntriesChangeWhileConnectionsAreMade, a race before, none after.

--- a/targets/call.go
+++ b/targets/call.go
@@ -83,7 +83,7 @@
 	if c.target == nil {
 		return ""
 	}
-	return c.target.entry.id
+	return c.target.id
 }
 
 // Latency returns the time from sending to the end of the call.
--- a/targets/connect.go
+++ b/targets/connect.go
@@ -70,7 +70,7 @@
 		ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
 		defer cancel()
 		meter.Count("target.connections", 1)
-		nc, err := g.dial(ctx, t.entry.address)
+		nc, err := g.dial(ctx, t.address)
 		g.connected(t, nc, err)
 	}()
 }
--- a/targets/group.go
+++ b/targets/group.go
@@ -80,7 +80,7 @@
 	for _, e := range entries {
 		t := g.find(e)
 		if t == nil {
-			t = &Target{group: g, entry: e}
+			t = &Target{group: g, id: e.id, address: e.address, entry: e}
 			g.log.Info().Str("service", g.service).Str("target", e.id).Str("address", e.address).
 				Dur("cold_for", e.warmLeft).Msg("target added")
 		}
--- a/targets/group_test.go
+++ b/targets/group_test.go
@@ -204,3 +204,26 @@
 		}
 	})
 }
+
+// Guards against a data race between entries that change and connections that
+// are made. Found by the first CI run beside load.
+func TestEntriesChangeWhileConnectionsAreMade(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(2, sound(shards.Handshake(time.Millisecond)))
+		defer w.close()
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			for i := range 50 {
+				if c := w.send(fmt.Sprintf("q%d", i), false); c == nil || c.TargetID() == "" {
+					t.Error("a request got no target")
+				}
+			}
+		}()
+		for range 400 {
+			w.group.Update(w.entries)
+			time.Sleep(time.Millisecond)
+		}
+		<-done
+	})
+}
--- a/targets/target.go
+++ b/targets/target.go
@@ -42,8 +42,10 @@
 // Target is one start of a target as this daemon knows it. The group's lock
 // guards it.
 type Target struct {
-	group *Group
-	entry Entry
+	group   *Group
+	id      string // The same in all entries of this start, so read without the lock.
+	address string // As id.
+	entry   Entry
 
 	conns   []*conn
 	dialing int
