targets, query, node, mirror, platform: one piece of code for what stood twice

Cause: the read-through found the hedge of single requests beside that of parts, an election beside the watcher's, two messages for one strike, two exported and private constants of one time, loops that the standard library has, a move judged twice before it is published, the registry and the configuration decoded at each heartbeat and each change of a target, and the platform's header names in stand-ins. No check or bound changed. Ruled out: moving Poisoned to another status in the table, which the product's own interface uses.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -19,9 +19,6 @@
 const (
 	// beatEvery is the time between heartbeats.
 	beatEvery = 300 * time.Millisecond
-	// lostAfter is the silence after which a daemon counts as lost: four
-	// heartbeats, as single datagrams are lost.
-	lostAfter = 1250 * time.Millisecond
 	// forgetAfter is the silence after which a daemon is forgotten.
 	forgetAfter = 60 * time.Second
 	// maxDatagram is the size of the receive buffer; a heartbeat takes about 200
@@ -30,8 +27,8 @@
 )
 
 // LostAfter is the silence after which a daemon that sends heartbeats counts as
-// lost.
-const LostAfter = lostAfter
+// lost: four heartbeats, as single datagrams are lost.
+const LostAfter = 1250 * time.Millisecond
 
 // Fleet exchanges heartbeats with the other daemons.
 type Fleet struct {
@@ -133,7 +130,7 @@
 	now := f.clock.Now()
 	for key, m := range f.members {
 		silence := now.Sub(m.heard)
-		if !m.lost && silence > lostAfter {
+		if !m.lost && silence > LostAfter {
 			m.lost = true
 			f.log.Warn().Str("member", m.name).Dur("silent_for", silence).Msg("daemon lost")
 		}
@@ -215,7 +212,7 @@
 }
 
 // Alive returns the daemons that were heard lately, ordered by name.
-func (f *Fleet) Alive() []Member { return f.heardWithin(lostAfter) }
+func (f *Fleet) Alive() []Member { return f.heardWithin(LostAfter) }
 
 // Known returns the daemons that were heard at all and are not forgotten yet,
 // ordered by name.
--- a/fleet/member.go
+++ b/fleet/member.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"medlaryard.example/medlaryard/mirror/mirrorpb"
+	"medlaryard.example/medlaryard/peer/peerpb"
 )
 
 // Member is another daemon as its last heartbeat described it.
@@ -18,7 +19,7 @@
 	storeAge    time.Duration
 	versions    map[string]uint64
 	moves       []*mirrorpb.MoveEvidence
-	strikes     []*mirrorpb.Strike
+	strikes     []*peerpb.CrashStrike
 	heard       time.Time
 }
 
@@ -50,4 +51,4 @@
 func (m Member) Moves() []*mirrorpb.MoveEvidence { return m.moves }
 
 // Strikes returns requests that crashed targets, as the daemon knows them.
-func (m Member) Strikes() []*mirrorpb.Strike { return m.strikes }
+func (m Member) Strikes() []*peerpb.CrashStrike { return m.strikes }
--- a/mirror/follower.go
+++ b/mirror/follower.go
@@ -36,14 +36,11 @@
 	lastDelay  = 400 * time.Millisecond
 	// idleCheck is how often a daemon that does not watch looks whether it should.
 	idleCheck = 100 * time.Millisecond
-	// freshContact is the age up to which a daemon's contact with the store
-	// counts as intact: two pings and the longest call.
-	freshContact = 2*pingEvery + 300*time.Millisecond
 )
 
 // FreshContact is the age of a daemon's last contact with the store up to which
-// the others leave the watching to it.
-const FreshContact = freshContact
+// the others leave the watching to it: two pings and a usual answer.
+const FreshContact = 2*pingEvery + 300*time.Millisecond
 
 // Follower keeps a mirror up to date from the store.
 type Follower struct {
@@ -83,8 +80,7 @@
 }
 
 // NewFollower returns a follower. Elect reports whether this daemon is to watch
-// the store now; otherwise it relies on its neighbours.
-// Standby reports whether other daemons do not rely on this one.
+// the store now; otherwise it relies on its neighbours. Standby reports whether other daemons do not rely on this one.
 func NewFollower(m *Mirror, s Store, c clock.Clock, l zerolog.Logger, elect, standby func() bool) *Follower {
 	return &Follower{mirror: m, store: s, clock: c, log: l, elect: elect, standby: standby}
 }
@@ -262,7 +258,7 @@
 		}
 		return
 	}
-	if f.StoreAge() > freshContact && f.connected.Swap(false) {
+	if f.StoreAge() > FreshContact && f.connected.Swap(false) {
 		f.log.Warn().Err(err).Dur("age", f.StoreAge()).Msg("store does not answer")
 	}
 }
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -99,9 +99,7 @@
 	seen := make(map[string]bool, len(objects))
 	for _, o := range objects {
 		seen[o.name] = true
-		if old, ok := k.objects[o.name]; !ok || !old.equal(o) {
-			events = append(events, NewEvent(o, false))
-		}
+		events = append(events, NewEvent(o, false)) // Those that change nothing are left out below.
 	}
 	for n, o := range k.objects {
 		if !seen[n] {
--- a/node/addresses.go
+++ b/node/addresses.go
@@ -4,7 +4,7 @@
 func (d *Daemon) ready() bool { return !d.leaving.Load() && d.engine.Table() != nil }
 
 // addresses returns the addresses that callers are to use.
-func (d *Daemon) addresses(string) []string {
+func (d *Daemon) addresses() []string {
 	var list []string
 	if d.ready() && d.serving.includesSelf() && d.able() {
 		list = append(list, d.settings.Callers())
--- a/node/apply.go
+++ b/node/apply.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"maps"
 	"net"
 	"time"
 
@@ -22,24 +21,31 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.serving.register(platform.DecodeDaemons(d.mirror.Objects(platform.KindDaemons)))
-	d.applyConfig()
+	now := d.clock.Now()
+	d.roster.update(platform.DecodeTargets(d.mirror.Objects(platform.KindTargets), d.settings.RegionOf), now)
+	newer := d.readConfig()
 	if d.table == nil {
 		return
 	}
-	now := d.clock.Now()
-	d.roster.update(platform.DecodeTargets(d.mirror.Objects(platform.KindTargets), d.settings.RegionOf), now)
 	d.updateGroups(now)
+	if newer {
+		d.engine.Install(d.table, d.groups)
+		d.log.Info().Uint64("configuration", d.table.Version()).Int("services", len(d.groups)).Msg("configuration in force")
+	}
 }
 
-// applyConfig installs a configuration that is newer than the one in force.
-func (d *Daemon) applyConfig() {
-	t, err := platform.DecodeConfig(d.mirror.Objects(platform.KindConfig))
+// readConfig takes a configuration that is newer than the one in force and makes
+// the groups of its services. It reports false if there is none. The groups of a
+// configuration never change, so that requests share them without a lock.
+func (d *Daemon) readConfig() bool {
+	t, revision, err := platform.DecodeConfig(d.mirror.Objects(platform.KindConfig), d.configRevision)
+	d.configRevision = revision
 	if err != nil {
 		d.log.Error().Err(err).Msg("configuration cannot be read; the one in force stays")
-		return
+		return false
 	}
 	if t == nil || d.table != nil && t.Version() <= d.table.Version() {
-		return
+		return false
 	}
 	groups := make(map[string]*targets.Group, len(t.Services()))
 	for name := range t.Services() {
@@ -56,9 +62,7 @@
 	}
 	d.groups, d.table, d.used = groups, t, t.Used()
 	d.resizeGroups()
-	d.updateGroups(d.clock.Now())
-	d.engine.Install(t, maps.Clone(groups))
-	d.log.Info().Uint64("configuration", t.Version()).Int("services", len(groups)).Msg("configuration in force")
+	return true
 }
 
 func (d *Daemon) newGroup(service string) *targets.Group {
--- a/node/cluster_test.go
+++ b/node/cluster_test.go
@@ -15,6 +15,7 @@
 	"github.com/rs/zerolog"
 
 	"medlaryard.example/medlaryard/clock"
+	"medlaryard.example/medlaryard/platform"
 	"medlaryard.example/medlaryard/standin/metastore"
 	"medlaryard.example/medlaryard/standin/shards"
 )
@@ -193,8 +194,8 @@
 		c.t.Fatal(err)
 	}
 	req.Host = "songs.example"
-	req.Header.Set("X-Medlaryard-Request-Id", id)
-	req.Header.Set("X-Medlaryard-Deadline-Ms", "5000")
+	req.Header.Set(platform.HeaderRequestID, id)
+	req.Header.Set(platform.HeaderDeadline, "5000")
 	req.Close = true
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
--- a/node/daemon.go
+++ b/node/daemon.go
@@ -78,11 +78,14 @@
 	changes     chan struct{}
 	fetches     chan string
 
-	mu       sync.Mutex
-	roster   *roster
-	groups   map[string]*targets.Group
-	table    *route.Table
-	used     map[string]bool // Services that some route of the table uses.
+	mu     sync.Mutex
+	roster *roster
+	groups map[string]*targets.Group
+	table  *route.Table
+	used   map[string]bool // Services that some route of the table uses.
+
+	configRevision uint64 // The store's revision of the configuration that was read last.
+
 	expiry   clock.Timer
 	moves    map[string]*moveState // By service.
 	wg       sync.WaitGroup
--- a/node/daemon_test.go
+++ b/node/daemon_test.go
@@ -31,13 +31,13 @@
 	for i, d := range c.daemons {
 		id := fmt.Sprintf("m%d", i)
 		r := c.send(d.ip, "GET", "/match/"+id, id, "")
-		stamps := strings.Split(r.header.Get("X-Medlaryard-Part-Stamps"), ", ")
-		if r.status != http.StatusOK || len(stamps) != 4 || r.header.Get("X-Medlaryard-Missing-Parts") != "0" || len(r.body) != 160 {
+		stamps := strings.Split(r.header.Get(platform.HeaderPartStamps), ", ")
+		if r.status != http.StatusOK || len(stamps) != 4 || r.header.Get(platform.HeaderMissing) != "0" || len(r.body) != 160 {
 			t.Errorf("merged answer of %s: status %d, %d parts, %d bytes", d.ip, r.status, len(stamps), len(r.body))
 		}
 		id = fmt.Sprintf("c%d", i)
 		r = c.send(d.ip, "POST", "/card/"+id, id, "play")
-		if r.status != http.StatusOK || r.header.Get("X-Medlaryard-Response-Stamp") == "" || c.runs(id) != 1 {
+		if r.status != http.StatusOK || r.header.Get(platform.HeaderStamp) == "" || c.runs(id) != 1 {
 			t.Errorf("single answer of %s: status %d, %d runs", d.ip, r.status, c.runs(id))
 		}
 	}
--- a/node/moves.go
+++ b/node/moves.go
@@ -21,7 +21,7 @@
 
 // stepMoves judges all moves on the evidence of all daemons. Each daemon comes to
 // its own verdict, so none waits for another to stop a bad version; the daemon
-// that watches the store first publishes it.
+// that watches the store publishes it.
 func (d *Daemon) stepMoves(ctx context.Context) {
 	orders := platform.DecodeOrders(d.mirror.Objects(platform.KindMoves))
 	d.mu.Lock()
@@ -29,12 +29,12 @@
 		d.mu.Unlock()
 		return
 	}
-	var publish []platform.Order
+	publish := make(map[platform.Order]upgrade.State)
 	seen := make(map[string]bool, len(orders))
 	for _, o := range orders {
 		seen[o.Service()] = true
-		if d.stepMove(o) != o.State() {
-			publish = append(publish, o)
+		if state := d.stepMove(o); state != o.State() {
+			publish[o] = state
 		}
 	}
 	for service := range d.moves {
@@ -46,11 +46,11 @@
 		}
 	}
 	d.mu.Unlock()
-	if !d.publishes() {
+	if !d.watches() || !d.follower.Connected() {
 		return
 	}
-	for _, o := range publish {
-		d.publish(ctx, o)
+	for o, state := range publish {
+		d.publish(ctx, o, state)
 	}
 }
 
@@ -97,16 +97,9 @@
 	return m.state
 }
 
-// publishes reports whether this daemon writes the states of moves: the first
-// by name of those that reach the store.
-func (d *Daemon) publishes() bool {
-	return d.watches() && d.follower.Connected() && d.precedes()
-}
-
-func (d *Daemon) publish(ctx context.Context, o platform.Order) {
-	d.mu.Lock()
-	state := d.stepMove(o)
-	d.mu.Unlock()
+// publish writes the state of a move. The store refuses it if the order has
+// changed meanwhile.
+func (d *Daemon) publish(ctx context.Context, o platform.Order, state upgrade.State) {
 	call, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
 	if err := d.store.Publish(call, o, state); err != nil {
--- a/node/neighbours.go
+++ b/node/neighbours.go
@@ -10,7 +10,6 @@
 	"medlaryard.example/medlaryard/meter"
 	"medlaryard.example/medlaryard/mirror"
 	"medlaryard.example/medlaryard/mirror/mirrorpb"
-	"medlaryard.example/medlaryard/peer/peerpb"
 )
 
 // seeds returns the peer addresses of the daemons that the settings name; all
@@ -49,30 +48,17 @@
 		StoreAgeMs: uint32(min(d.follower.StoreAge(), time.Hour).Milliseconds()),
 		Versions:   d.mirror.Versions(),
 		Moves:      d.moveEvidence(),
-		Strikes:    d.strikes(),
+		Strikes:    d.suspects.Strikes(maxStrikes),
 	}
 }
 
 // maxStrikes is how many strikes a heartbeat carries, at 20 bytes each.
 const maxStrikes = 32
 
-// strikes are the requests that crashed targets, for the heartbeats.
-func (d *Daemon) strikes() []*mirrorpb.Strike {
-	var list []*mirrorpb.Strike
-	for _, s := range d.suspects.Strikes(maxStrikes) {
-		list = append(list, &mirrorpb.Strike{Fingerprint: s.GetFingerprint(), Crashes: s.GetCrashes(), AgeMs: s.GetAgeMs()})
-	}
-	return list
-}
-
 // heard takes in what another daemon knows of requests that crash targets, and
 // fetches changes that it has and this one lacks.
 func (d *Daemon) heard(m fleet.Member) {
-	strikes := make([]*peerpb.CrashStrike, 0, len(m.Strikes()))
-	for _, s := range m.Strikes() {
-		strikes = append(strikes, &peerpb.CrashStrike{Fingerprint: s.GetFingerprint(), Crashes: s.GetCrashes(), AgeMs: s.GetAgeMs()})
-	}
-	d.suspects.Merge(strikes)
+	d.suspects.Merge(m.Strikes())
 	own := d.mirror.Versions()
 	for kind, v := range m.Versions() {
 		if have, ok := own[kind]; !ok || have < v {
--- a/node/serving.go
+++ b/node/serving.go
@@ -1,12 +1,13 @@
 package node
 
 import (
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
 	"medlaryard.example/medlaryard/clock"
 	"medlaryard.example/medlaryard/fleet"
-	"medlaryard.example/medlaryard/platform"
 )
 
 // serving tells which daemons callers are sent to. All others stand by: they
@@ -35,8 +36,8 @@
 	s.selectLocked()
 }
 
-// refresh follows gained and lost daemons and returns those selected.
-func (s *serving) refresh() []fleet.Candidate {
+// refresh follows gained and lost daemons.
+func (s *serving) refresh() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.clock.Now()
@@ -51,7 +52,6 @@
 		s.lost[c.Name()] = now.Sub(since) > fleet.LostAfter
 	}
 	s.selectLocked()
-	return s.selected
 }
 
 // selectLocked selects the serving daemons. Daemons that stand by send no
@@ -71,19 +71,8 @@
 func (s *serving) includesSelf() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	registered := false
-	for _, c := range s.candidates {
-		registered = registered || c.Name() == s.name
-	}
-	if !registered {
-		return true
-	}
-	for _, c := range s.selected {
-		if c.Name() == s.name {
-			return true
-		}
-	}
-	return false
+	self := func(c fleet.Candidate) bool { return c.Name() == s.name }
+	return !slices.ContainsFunc(s.candidates, self) || slices.ContainsFunc(s.selected, self)
 }
 
 // size returns how many daemons share the limits on targets.
@@ -93,6 +82,13 @@
 	return max(len(s.selected), 1)
 }
 
+// registered returns all daemons that are registered.
+func (s *serving) registered() []fleet.Candidate {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.candidates
+}
+
 // names returns the names of the daemons that serve.
 func (s *serving) names() map[string]bool {
 	s.mu.Lock()
@@ -117,7 +113,7 @@
 	}
 	serving := d.serving.names()
 	to := make(map[string]bool)
-	for _, c := range platform.DecodeDaemons(d.mirror.Objects(platform.KindDaemons)) {
+	for _, c := range d.serving.registered() {
 		if round%standbyRounds == 0 || serving[c.Name()] {
 			to[c.Peer()] = true
 		}
@@ -130,9 +126,5 @@
 	for _, m := range d.fleet.Alive() {
 		to[m.Peer()] = true
 	}
-	addresses := make([]string, 0, len(to))
-	for a := range to {
-		addresses = append(addresses, a)
-	}
-	return addresses
+	return slices.Collect(maps.Keys(to))
 }
--- a/node/watching.go
+++ b/node/watching.go
@@ -25,13 +25,10 @@
 		mirror.NewKind(platform.KindDaemons, ordersReread, gatherChanges))
 }
 
-// watchers is how many daemons watch the store at a time. Another takes over
-// within about two seconds, before a change must be in force.
-const watchers = 1
-
-// watches reports whether this daemon is to watch the store. A daemon that
-// serves does so if fewer than the wanted number before it in the order of names
-// do, one that stands by only if no other does.
+// watches reports whether this daemon is to watch the store. The first by name
+// of the serving daemons that reach the store does; another takes over within
+// about two seconds, before a change must be in force. One that stands by watches
+// only if no other does.
 func (d *Daemon) watches() bool {
 	others, before := 0, 0
 	for _, m := range d.fleet.Alive() {
@@ -46,16 +43,5 @@
 	if !d.serving.includesSelf() {
 		return others == 0
 	}
-	return before < watchers
-}
-
-// precedes reports whether this daemon is the first by name of those that reach
-// the store.
-func (d *Daemon) precedes() bool {
-	for _, m := range d.fleet.Alive() {
-		if m.Name() < d.settings.Name() && !m.Leaving() && m.StoreAge() < mirror.FreshContact {
-			return false
-		}
-	}
-	return true
+	return before == 0
 }
--- a/query/gather.go
+++ b/query/gather.go
@@ -141,20 +141,10 @@
 			}
 			continue
 		}
-		if p.open > 1 || now.Before(r.hedgeTime(p)) {
-			continue
-		}
-		if _, sent := p.group.SentAt(p.calls[len(p.calls)-1]); !sent {
-			continue
-		}
-		if r.attempt(p, i, now, true) {
-			meter.Count("query.hedged", 1)
-		}
+		r.hedgePart(p, i, now)
 	}
 }
 
-func (r *run) hedgeTime(p *part) time.Time { return p.tried.Add(r.hedgeAfter) }
-
 // nextCheck returns when to look at the parts again.
 func (r *run) nextCheck(parts []*part, now time.Time) time.Time {
 	next := r.next(now)
@@ -162,13 +152,13 @@
 		if p.answer != nil || p.group == nil {
 			continue
 		}
-		t := now.Add(recheck)
-		if p.open == 1 && p.mayRun < r.maxTargets() {
-			t = r.hedgeTime(p)
-			if !t.After(now) {
-				t = now.Add(recheck) // The budget was spent, or the call waits.
-			}
-		} else if p.open > 0 {
+		var t time.Time
+		switch {
+		case p.open == 0:
+			t = now.Add(recheck)
+		case p.open == 1 && p.mayRun < r.maxTargets():
+			t = r.nextHedge(p, now)
+		default:
 			continue
 		}
 		if t.Before(next) {
--- a/query/run.go
+++ b/query/run.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"medlaryard.example/medlaryard/meter"
 	"medlaryard.example/medlaryard/route"
 	"medlaryard.example/medlaryard/targets"
 )
@@ -92,6 +93,25 @@
 	return r.route.MaxTargets()
 }
 
+// hedgePart sends the part to a second target beside a call that was sent and has
+// not been answered for long.
+func (r *run) hedgePart(p *part, tag int, now time.Time) {
+	if p.open != 1 || now.Before(p.tried.Add(r.hedgeAfter)) {
+		return
+	}
+	if _, _, sent := p.group.Placed(p.calls[len(p.calls)-1]); sent && r.attempt(p, tag, now, true) {
+		meter.Count("query.hedged", 1)
+	}
+}
+
+// nextHedge returns when a hedge may be due.
+func (r *run) nextHedge(p *part, now time.Time) time.Time {
+	if t := p.tried.Add(r.hedgeAfter); t.After(now) {
+		return t
+	}
+	return now.Add(recheck) // The budget was spent, or the call waits.
+}
+
 // take accounts for the result of a call.
 func (p *part) take(c *targets.Call) {
 	p.open--
--- a/query/single.go
+++ b/query/single.go
@@ -21,7 +21,7 @@
 	var kept *targets.Call
 	callerLeft := false
 	defer func() { p.abandon(kept, callerLeft) }()
-	timer := r.clock.NewTimer(r.nextHedge(p, now).Sub(now))
+	timer := r.clock.NewTimer(r.nextSingle(p, now).Sub(now))
 	defer timer.Stop()
 	for {
 		select {
@@ -49,8 +49,10 @@
 				r.noteSilent([]*part{p})
 				return r.overdue(p)
 			}
-			r.hedgeSingle(p, now)
-			timer.Reset(max(r.nextHedge(p, now).Sub(now), time.Millisecond))
+			if r.route.Idempotent() {
+				r.hedgePart(p, 0, now)
+			}
+			timer.Reset(max(r.nextSingle(p, now).Sub(now), time.Millisecond))
 		case <-ctx.Done():
 			callerLeft = r.route.Idempotent()
 			return refuse(refusal.Cancelled, 0, "caller left after %v", r.clock.Now().Sub(r.started))
@@ -71,27 +73,15 @@
 	return true
 }
 
-func (r *run) hedgeSingle(p *part, now time.Time) {
-	if !r.route.Idempotent() || p.open != 1 || now.Before(p.tried.Add(r.hedgeAfter)) {
-		return
-	}
-	if _, sent := p.group.SentAt(p.calls[len(p.calls)-1]); sent && r.attempt(p, 0, now, true) {
-		meter.Count("query.hedged", 1)
-	}
-}
-
-func (r *run) nextHedge(p *part, now time.Time) time.Time {
+// nextSingle returns when to look at the request again.
+func (r *run) nextSingle(p *part, now time.Time) time.Time {
 	if !r.route.Idempotent() || p.mayRun >= r.maxTargets() {
 		return r.end
 	}
-	t := p.tried.Add(r.hedgeAfter)
-	if !t.After(now) {
-		t = now.Add(recheck)
-	}
-	if t.After(r.end) {
-		return r.end
+	if t := r.nextHedge(p, now); t.Before(r.end) {
+		return t
 	}
-	return t
+	return r.end
 }
 
 // relay returns the answer of a target.
--- a/route/route.go
+++ b/route/route.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -70,15 +71,7 @@
 
 // AllowsRegion reports whether targets of that region may serve the route.
 func (r *Route) AllowsRegion(region string) bool {
-	if len(r.regions) == 0 {
-		return true
-	}
-	for _, allowed := range r.regions {
-		if allowed == region {
-			return true
-		}
-	}
-	return false
+	return len(r.regions) == 0 || slices.Contains(r.regions, region)
 }
 
 // NextService returns the service for the next request of a route that is not
--- a/standin/shards/target.go
+++ b/standin/shards/target.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"medlaryard.example/medlaryard/platform"
 )
 
 // Target is one emulated target.
@@ -167,16 +169,16 @@
 
 // handle serves one request and reports whether the connection stays open.
 func (t *Target) handle(conn net.Conn, req *fasthttp.Request) bool {
-	id := string(req.Header.Peek("X-Medlaryard-Request-Id"))
+	id := string(req.Header.Peek(platform.HeaderRequestID))
 	b := t.behaviour()
-	if want := string(req.Header.Peek("X-Medlaryard-Expect-Instance")); want != "" && want != t.id {
-		return write(conn, fmt.Sprintf("HTTP/1.1 421 Misdirected Request\r\nX-Medlaryard-Instance-Id: %s\r\nContent-Length: 0\r\n\r\n", t.id))
+	if want := string(req.Header.Peek(platform.HeaderExpect)); want != "" && want != t.id {
+		return write(conn, fmt.Sprintf("HTTP/1.1 421 Misdirected Request\r\n%s: %s\r\nContent-Length: 0\r\n\r\n", platform.HeaderInstance, t.id))
 	}
 	if t.chance(b.shedding) || !t.enter(b) {
 		t.mu.Lock()
 		t.refused++
 		t.mu.Unlock()
-		return write(conn, "HTTP/1.1 503 Service Unavailable\r\nX-Medlaryard-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n")
+		return write(conn, "HTTP/1.1 503 Service Unavailable\r\n"+platform.HeaderNotRun+": 1\r\nContent-Length: 0\r\n\r\n")
 	}
 	if b.poison != "" && strings.Contains(string(req.RequestURI()), b.poison) {
 		t.crash(b)
@@ -266,6 +268,6 @@
 
 // answer is a complete answer with the target's signature for the request.
 func answer(status int, id, target string, body []byte) string {
-	return fmt.Sprintf("HTTP/1.1 %d %s\r\nX-Medlaryard-Request-Id: %s\r\nX-Medlaryard-Response-Stamp: %s.%s\r\nContent-Length: %d\r\n\r\n%s",
-		status, fasthttp.StatusMessage(status), id, target, id, len(body), body)
+	return fmt.Sprintf("HTTP/1.1 %d %s\r\n%s: %s\r\n%s: %s.%s\r\nContent-Length: %d\r\n\r\n%s",
+		status, fasthttp.StatusMessage(status), platform.HeaderRequestID, id, platform.HeaderStamp, target, id, len(body), body)
 }
--- a/standin/soak/caller.go
+++ b/standin/soak/caller.go
@@ -13,6 +13,7 @@
 	"strings"
 	"time"
 
+	"medlaryard.example/medlaryard/platform"
 	"medlaryard.example/medlaryard/standin/shards"
 )
 
@@ -120,8 +121,8 @@
 	}
 	req.Host = host
 	req.GetBody = nil // The transport must not send it twice on its own.
-	req.Header.Set("X-Medlaryard-Request-Id", id)
-	req.Header.Set("X-Medlaryard-Deadline-Ms", strconv.FormatInt(patience.Milliseconds(), 10))
+	req.Header.Set(platform.HeaderRequestID, id)
+	req.Header.Set(platform.HeaderDeadline, strconv.FormatInt(patience.Milliseconds(), 10))
 	resp, err := c.client.Do(req)
 	if err == nil {
 		defer resp.Body.Close()
@@ -143,17 +144,17 @@
 // check returns what is wrong with a success, "" if nothing is.
 func (s *Soak) check(id, path string, once bool, h http.Header, body []byte) string {
 	if once {
-		stamp := h.Get("X-Medlaryard-Response-Stamp")
+		stamp := h.Get(platform.HeaderStamp)
 		target, of, _ := strings.Cut(stamp, ".")
 		if of != id || !bytes.Equal(body, shards.Records(target, path)) {
 			return fmt.Sprintf("answer signed %q is not this request's", stamp)
 		}
 		return ""
 	}
-	stamps := strings.Split(h.Get("X-Medlaryard-Part-Stamps"), ", ")
-	missing, err := strconv.Atoi(h.Get("X-Medlaryard-Missing-Parts"))
+	stamps := strings.Split(h.Get(platform.HeaderPartStamps), ", ")
+	missing, err := strconv.Atoi(h.Get(platform.HeaderMissing))
 	if err != nil || len(stamps)+missing != shardCount || len(stamps) < minShards {
-		return fmt.Sprintf("%d parts and %q missing", len(stamps), h.Get("X-Medlaryard-Missing-Parts"))
+		return fmt.Sprintf("%d parts and %q missing", len(stamps), h.Get(platform.HeaderMissing))
 	}
 	var records [][]byte
 	seen := make(map[string]bool)
--- a/standin/soak/proxy.go
+++ b/standin/soak/proxy.go
@@ -1,7 +1,6 @@
 package soak
 
 import (
-	"io"
 	"net"
 	"sync"
 	"time"
@@ -122,9 +121,6 @@
 			return
 		}
 		if err != nil {
-			if err == io.EOF {
-				return
-			}
 			return
 		}
 	}
--- a/standin/soak/soak.go
+++ b/standin/soak/soak.go
@@ -12,6 +12,7 @@
 	"sync"
 	"time"
 
+	"medlaryard.example/medlaryard/platform"
 	"medlaryard.example/medlaryard/standin/metastore"
 	"medlaryard.example/medlaryard/standin/shards"
 )
@@ -259,8 +260,8 @@
 		return 0
 	}
 	req.Host = host
-	req.Header.Set("X-Medlaryard-Request-Id", fmt.Sprintf("a-%d", time.Now().UnixNano()))
-	req.Header.Set("X-Medlaryard-Deadline-Ms", "2000")
+	req.Header.Set(platform.HeaderRequestID, fmt.Sprintf("a-%d", time.Now().UnixNano()))
+	req.Header.Set(platform.HeaderDeadline, "2000")
 	resp, err := client.Do(req)
 	if err != nil {
 		return 0
--- a/targets/abandon.go
+++ b/targets/abandon.go
@@ -1,6 +1,8 @@
 package targets
 
 import (
+	"slices"
+
 	"medlaryard.example/medlaryard/meter"
 )
 
@@ -43,12 +45,7 @@
 
 func (g *Group) withdraw(c *Call) {
 	c.state = callDone
-	for i, other := range g.waiting {
-		if other == c {
-			g.waiting = append(g.waiting[:i], g.waiting[i+1:]...)
-			return
-		}
-	}
+	g.waiting = slices.DeleteFunc(g.waiting, func(other *Call) bool { return other == c })
 }
 
 // giveUp closes the connection of a call that is still unanswered.
@@ -65,7 +62,5 @@
 	c.conn.call = nil
 	c.target.removeCall(c)
 	g.drop(c.conn)
-	sends := g.dispatch(now)
-	g.mu.Unlock()
-	transmit(sends)
+	g.unlockAndSend(now)
 }
--- a/targets/answer.go
+++ b/targets/answer.go
@@ -75,11 +75,9 @@
 	} else {
 		g.trim(conn.target)
 	}
-	sends := g.dispatch(now)
-	closed := conn.closed
-	g.mu.Unlock()
-	transmit(sends)
-	return !closed
+	open := !conn.closed
+	g.unlockAndSend(now)
+	return open
 }
 
 // learn updates what is known of a target by the outcome of a call.
@@ -128,7 +126,5 @@
 	} else {
 		g.prepare(t)
 	}
-	sends := g.dispatch(now)
-	g.mu.Unlock()
-	transmit(sends)
+	g.unlockAndSend(now)
 }
--- a/targets/call.go
+++ b/targets/call.go
@@ -1,6 +1,7 @@
 package targets
 
 import (
+	"slices"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -91,10 +92,5 @@
 
 // avoids reports whether an earlier call of the request used t.
 func (c *Call) avoids(t *Target) bool {
-	for _, earlier := range c.tried {
-		if earlier.target == t {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(c.tried, func(earlier *Call) bool { return earlier.target == t })
 }
--- a/targets/connect.go
+++ b/targets/connect.go
@@ -81,9 +81,7 @@
 	t.dialing--
 	if err != nil {
 		g.unreachable(t, err)
-		sends := g.dispatch(now)
-		g.mu.Unlock()
-		transmit(sends)
+		g.unlockAndSend(now)
 		return
 	}
 	if t.gone || g.closed {
@@ -102,9 +100,7 @@
 		defer g.wg.Done()
 		c.read()
 	}()
-	sends := g.dispatch(now)
-	g.mu.Unlock()
-	transmit(sends)
+	g.unlockAndSend(now)
 }
 
 // unreachable marks a target down and tries it again after a growing delay.
--- a/targets/dispatch.go
+++ b/targets/dispatch.go
@@ -13,8 +13,11 @@
 	large bool
 }
 
-func transmit(ts []transmission) {
-	for _, t := range ts {
+// unlockAndSend places waiting calls, releases the lock and writes them.
+func (g *Group) unlockAndSend(now time.Time) {
+	sends := g.dispatch(now)
+	g.mu.Unlock()
+	for _, t := range sends {
 		t.conn.send(t.bytes, t.large)
 	}
 }
@@ -114,22 +117,15 @@
 	}
 }
 
-// SentAt returns when a call was sent; false means that it waits or has ended.
-func (g *Group) SentAt(c *Call) (time.Time, bool) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return c.sent, c.state == callSent
-}
-
 // Placed returns the target of a call, when it got it, and whether it still has
-// to answer.
+// to answer; a call that waits has no target yet.
 func (g *Group) Placed(c *Call) (target string, sent time.Time, open bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if c.state != callSent {
 		return "", time.Time{}, false
 	}
-	return c.target.entry.id, c.sent, true
+	return c.target.id, c.sent, true
 }
 
 func (g *Group) assign(c *Call, t *Target, conn *conn, now time.Time) transmission {
--- a/targets/group.go
+++ b/targets/group.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -91,7 +92,7 @@
 		kept = append(kept, t)
 	}
 	for _, t := range g.targets {
-		if !contains(kept, t) {
+		if !slices.Contains(kept, t) {
 			g.forget(t)
 		}
 	}
@@ -99,9 +100,7 @@
 	for _, t := range g.targets {
 		g.prepare(t)
 	}
-	sends := g.dispatch(now)
-	g.mu.Unlock()
-	transmit(sends)
+	g.unlockAndSend(now)
 }
 
 func (g *Group) find(e Entry) *Target {
@@ -113,15 +112,6 @@
 	return nil
 }
 
-func contains(ts []*Target, t *Target) bool {
-	for _, other := range ts {
-		if other == t {
-			return true
-		}
-	}
-	return false
-}
-
 // Submit hands a call to the group. Its result follows unless Submit reports
 // false: there is no target for it or, for a retry or hedge, no budget.
 func (g *Group) Submit(c *Call) bool {
@@ -148,9 +138,7 @@
 	}
 	c.state = callWaiting
 	g.enqueue(c)
-	sends := g.dispatch(now)
-	g.mu.Unlock()
-	transmit(sends)
+	g.unlockAndSend(now)
 	return true
 }
 
@@ -160,9 +148,7 @@
 	for i > 0 && g.waiting[i-1].priority > c.priority {
 		i--
 	}
-	g.waiting = append(g.waiting, nil)
-	copy(g.waiting[i+1:], g.waiting[i:])
-	g.waiting[i] = c
+	g.waiting = slices.Insert(g.waiting, i, c)
 }
 
 // Reachable reports whether some target accepts connections.
--- a/targets/target.go
+++ b/targets/target.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -163,19 +164,9 @@
 }
 
 func (t *Target) removeConn(c *conn) {
-	for i, other := range t.conns {
-		if other == c {
-			t.conns = append(t.conns[:i], t.conns[i+1:]...)
-			return
-		}
-	}
+	t.conns = slices.DeleteFunc(t.conns, func(other *conn) bool { return other == c })
 }
 
 func (t *Target) removeCall(c *Call) {
-	for i, other := range t.calls {
-		if other == c {
-			t.calls = append(t.calls[:i], t.calls[i+1:]...)
-			return
-		}
-	}
+	t.calls = slices.DeleteFunc(t.calls, func(other *Call) bool { return other == c })
 }
