home: a searcher in doubt is held at its cold limit until replies clear it

Ruled out: attempts given up early as the only cause; they are left out now, as they tell neither way, but a lone fast reply remains. Change: doubt instead of a run: a slow reply raises it by 1, a fast one lowers it by 0.56, two fast ones in a row end it. From 2 on the searcher is held at its cold limit but still counts as warm. Slow replies more than 300 ms apart do not add up.

--- a/home/cold_test.go
+++ b/home/cold_test.go
@@ -19,7 +19,7 @@
 
 // coldSeeds is the number of seeds of each test; a searcher that is ramped up by
 // chance shows in some of them only.
-const coldSeeds = 10
+const coldSeeds = 20
 
 // Guards against a searcher that is ramped up although it is still cold, because
 // its health claims otherwise and every reply, slow as it is, counts as success.
--- a/home/member.go
+++ b/home/member.go
@@ -90,6 +90,9 @@
 // home gets one request at a time if it claims to be ready; without that an
 // acting home, which is new to all its searchers, could not serve at all.
 func (m *member) limit(share lease.Share) int {
+	if m.warmth.doubted {
+		return min(m.warmth.coldLimit, m.slots())
+	}
 	if m.warmth.warm {
 		return m.slots()
 	}
--- a/home/observe.go
+++ b/home/observe.go
@@ -29,8 +29,10 @@
 	}
 	a.m.estimate.atLeast(now, float64(took), g.median)
 	a.m.warmth.giveUp(took)
-	_, present, peer := g.reference(a.m, now)
-	a.m.warmth.suspect(now, took, present, peer)
+	if _, present, peer := g.reference(a.m, now); took > slowFactor*present {
+		// One that was given up sooner might have been fast or slow.
+		a.m.warmth.suspect(now, took, present, peer)
+	}
 	g.updateMedian()
 }
 
--- a/home/warmth.go
+++ b/home/warmth.go
@@ -20,10 +20,25 @@
 	// the reference by a tenth; with a factor of 2, a searcher three times slower
 	// passed by chance.
 	rampFactor = 1.5
-	// slowReplies is the number of slow replies in a row that show that a warm
-	// searcher turned cold. With long-tailed service times (lognormal, sigma
-	// 0.5) one reply in 20 is slow by chance, five in a row one in 3 million.
+	// slowReplies is the doubt at which a warm searcher counts as cold: as many
+	// slow replies in a row, or more with fast ones between them. With
+	// long-tailed service times (lognormal, sigma 0.5) one reply in 20 is slow by
+	// chance, five in a row one in 3 million.
 	slowReplies = 5
+	// fastRelief is by how much a fast reply lowers the doubt that a slow one
+	// raises by 1: ln(0.95/0.2) / ln(0.8/0.05), the likelihood ratios of a fast
+	// and a slow reply if a warm searcher is slow in 1 and a cold one in 16 of 20
+	// replies.
+	fastRelief = 0.56
+	// fastReplies in a row end all doubt; a cold searcher that is five times slow
+	// has two in a row once in 270 pairs.
+	fastReplies = 2
+	// doubtMemory is how long after the last slow reply earlier ones count; pauses
+	// of a VM that follow one another must not add up to a cold start.
+	doubtMemory = 300 * time.Millisecond
+	// doubtful is the doubt from which a searcher is held at its cold limit until
+	// the doubt is gone, so that a cold one gets little while it is found out.
+	doubtful = 2
 	// slowSpan is the least time from the first to the last of them. A pause of
 	// the VM makes all replies slow that are on their way; without the span
 	// searchers lost their slots several times a second on a busy machine.
@@ -49,8 +64,11 @@
 	evident   bool          // A claim, refusal or latency shows the cold start; false when only new to this home.
 	successes int           // In the present window.
 	total     time.Duration // Latency of the successes in the present window.
-	slowRun   int           // Slow replies in a row while warm.
-	slowSince time.Duration
+	doubt     float64       // Evidence of a cold start while warm, in slow replies.
+	doubted   bool          // Held at the cold limit.
+	fastRun   int           // Fast replies in a row since the last slow one.
+	slowSince time.Duration // When the first of these replies came.
+	slowLast  time.Duration // When the last of them came.
 	window    int
 	chilledAt time.Duration
 	rest      time.Duration
@@ -75,7 +93,8 @@
 		}
 	}
 	w.warm, w.evident = false, true
-	w.allowed, w.successes, w.total, w.slowRun = w.coldLimit, 0, 0, 0
+	w.allowed, w.successes, w.total = w.coldLimit, 0, 0
+	w.trust()
 	w.chilledAt = now
 }
 
@@ -112,7 +131,8 @@
 	meter.Count("home.ramp.step", 1)
 	w.allowed *= 2
 	if w.allowed >= slots {
-		w.warm, w.evident, w.slowRun = true, false, 0
+		w.warm, w.evident = true, false
+		w.trust()
 	}
 }
 
@@ -124,6 +144,9 @@
 	}
 }
 
+// trust ends all doubt.
+func (w *warmth) trust() { w.doubt, w.doubted = 0, false }
+
 // suspect notes the latency of a reply, or of an attempt that was given up, and
 // returns to the cold limit when a warm searcher is slow all the time. Peer
 // tells that the reference is another warm searcher of the group.
@@ -132,17 +155,26 @@
 		return
 	}
 	if took <= slowFactor*reference {
-		w.slowRun = 0
+		w.doubt -= fastRelief
+		if w.fastRun++; w.doubt <= 0 || w.fastRun >= fastReplies {
+			w.trust()
+		}
 		return
 	}
-	if w.slowRun++; w.slowRun == 1 {
+	if now-w.slowLast > doubtMemory {
+		w.doubt = 0 // The limit stays until fast replies lift it.
+	}
+	w.fastRun, w.slowLast = 0, now
+	if w.doubt == 0 {
 		w.slowSince = now
 	}
-	replies, span := slowReplies, slowSpan
+	w.doubt++
+	w.doubted = w.doubted || w.doubt >= doubtful
+	replies, span := float64(slowReplies), slowSpan
 	if !peer {
 		replies, span = slowAlone*replies, slowAlone*span
 	}
-	if w.slowRun >= replies && now-w.slowSince >= span {
+	if w.doubt >= replies && now-w.slowSince >= span {
 		meter.Count("home.chill.latency", 1)
 		window := w.window
 		w.chill(now)
