targets: a target at whose address another one answers gets nothing for a while

Each request of a sharded route reached the new owner twice, once for its own shard. Ruled out: budgets of daemons that restart (one did), hedges (within the buckets). Change: after a 421 the target gets nothing for 5 s, its connections are closed and its shard counts as not reachable meanwhile. Before, it was only dear.

--- a/targets/answer.go
+++ b/targets/answer.go
@@ -70,7 +70,7 @@
 	}
 	g.finish(c, now, outcome, "")
 	conn.idle = now
-	if !reuse || conn.target.gone {
+	if !reuse || conn.target.gone || conn.target.moved {
 		g.drop(conn)
 	} else {
 		g.trim(conn.target)
@@ -89,8 +89,7 @@
 		c.pace.Observe(latency)
 		c.target.observe(now, ratio, false)
 	case Misdirected:
-		// The address has another owner; the entry is about to be removed.
-		c.target.observe(now, maxSlowness, true)
+		g.misdirected(c.target)
 	default:
 		c.target.observe(now, 0, true)
 	}
--- a/targets/connect.go
+++ b/targets/connect.go
@@ -31,11 +31,30 @@
 	}
 }
 
+// misdirected leaves a target alone for a while because another one answered at
+// its address. Every further request there would be refused, and would count as
+// a repeat at the other one's service.
+func (g *Group) misdirected(t *Target) {
+	if t.moved {
+		return
+	}
+	t.moved = true
+	g.log.Warn().Str("service", g.service).Str("target", t.entry.id).Str("address", t.address).
+		Dur("rest", movedRest).Msg("another target has the address")
+	g.trim(t)
+	g.clock.AfterFunc(movedRest, func() {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		t.moved = false
+		g.prepare(t)
+	})
+}
+
 // trim closes idle connections above the limit, all of them for a target that
 // has left.
 func (g *Group) trim(t *Target) {
 	limit := g.limit
-	if t.gone {
+	if t.gone || t.moved {
 		limit = 0
 	}
 	for len(t.conns) > limit {
@@ -56,7 +75,7 @@
 
 // prepare makes the first connection to a target before it is needed.
 func (g *Group) prepare(t *Target) {
-	if g.warm && !g.closed && !t.gone && !t.down && len(t.conns)+t.dialing == 0 {
+	if g.warm && !g.closed && !t.gone && t.accepts() && len(t.conns)+t.dialing == 0 {
 		g.connect(t)
 	}
 }
--- a/targets/dispatch.go
+++ b/targets/dispatch.go
@@ -30,7 +30,7 @@
 
 func (g *Group) hasTarget(c *Call) bool {
 	for _, t := range g.targets {
-		if g.eligible(t, c) && !t.down {
+		if g.eligible(t, c) && t.accepts() {
 			return true
 		}
 	}
@@ -71,7 +71,7 @@
 	g.turn++ // Among targets of the same cost each is the first in turn.
 	for i := range g.targets {
 		t := g.targets[(g.turn+i)%len(g.targets)]
-		if !g.eligible(t, c) || t.down {
+		if !g.eligible(t, c) || !t.accepts() {
 			continue
 		}
 		waitFor = t
--- a/targets/group.go
+++ b/targets/group.go
@@ -156,7 +156,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, t := range g.targets {
-		if !t.down {
+		if t.accepts() {
 			return true
 		}
 	}
--- a/targets/group_test.go
+++ b/targets/group_test.go
@@ -227,3 +227,33 @@
 		<-done
 	})
 }
+
+// Guards against requests that go on to an address that has another owner by
+// now, where each arrival counts against the budget of the owner's service.
+func TestAddressOfAnotherTargetIsLeftAlone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(0, sound())
+		defer w.close()
+		owner := w.emulator.Add("owner", sound())
+		w.group.Update([]targets.Entry{targets.NewEntry("gone", "s", owner.Address(), targets.Zone("a", "r"), targets.Slots(2))})
+		time.Sleep(50 * time.Millisecond)
+		misdirected := 0
+		for i := range 100 {
+			if c := w.send(fmt.Sprintf("q%d", i), true); c != nil && c.Outcome() == targets.Misdirected {
+				misdirected++
+			}
+			time.Sleep(40 * time.Millisecond)
+		}
+		if misdirected != 1 {
+			t.Errorf("%d of 100 requests in 4 s went to the new owner of the address, want 1", misdirected)
+		}
+		if w.group.Reachable() {
+			t.Error("the group counts as reachable although its only target has left its address")
+		}
+		w.group.Update([]targets.Entry{targets.NewEntry("owner", "s", owner.Address(), targets.Zone("a", "r"), targets.Slots(2))})
+		time.Sleep(50 * time.Millisecond)
+		if c := w.send("again", true); c == nil || c.Outcome() != targets.Answered {
+			t.Errorf("the owner's own entry is not used: %v", c)
+		}
+	})
+}
--- a/targets/target.go
+++ b/targets/target.go
@@ -34,6 +34,9 @@
 	// spareConnections is how many connections beyond its slots a daemon makes
 	// to one target, so that the next request is there when a slot is free.
 	spareConnections = 1
+	// movedRest is how long a target gets nothing after another one answered at its
+	// address. By then its entry has lapsed, which takes three heartbeats of 1.2 s.
+	movedRest = 5 * time.Second
 	// firstRetry and lastRetry bound the time between attempts to connect to a
 	// target that does not accept connections.
 	firstRetry = 150 * time.Millisecond
@@ -53,6 +56,7 @@
 	calls   []*Call
 	gone    bool
 	down    bool
+	moved   bool      // Another target has its address.
 	retry   time.Time // When a connection may be tried again after a failure.
 	refused int       // Attempts to connect that failed in a row.
 
@@ -66,6 +70,9 @@
 	cold     coldLimit
 }
 
+// accepts reports whether requests may be sent to the target at all.
+func (t *Target) accepts() bool { return !t.down && !t.moved }
+
 // decayed returns the running means as of now.
 func (t *Target) decayed(now time.Time) (slowness, failures float64) {
 	if t.observed.IsZero() {
