targets: daemons that use a cold target are few enough for its bound; none waits for one in vain

Each of 18 daemons could send one request at once to a target that had turned cold: at a rate of 1 a second 18 of them, where 6.5 are allowed. A waiting call was sent only when something else happened. Ruled out: the connections' cap; the queue's length alone. Change: ColdLimits: so many daemons use one cold target as its bound within a second permits, others for each target. Group.Prospect tells whether a request would be sent in time; one that would not is refused at once, before anything is sent. A timer dispatches when a cold target may take a request. Settings cold_targets.overshoot and .slack.

--- a/node/apply.go
+++ b/node/apply.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"medlaryard.example/medlaryard/platform"
-	"medlaryard.example/medlaryard/route"
 	"medlaryard.example/medlaryard/targets"
 )
 
@@ -109,16 +108,13 @@
 }
 
 func (d *Daemon) resizeGroups() {
-	n := d.serving.size()
+	position, n := d.serving.position()
 	serves := d.serving.includesSelf()
 	budget := targets.NewBudgetLimits(d.settings.ExtraRatio(), d.settings.ExtraSlack(), n)
 	for name, g := range d.groups {
-		g.Resize(sizing(d.table.Service(name), n, budget, d.used[name] && serves))
+		s := d.table.Service(name)
+		share := int(connectionShare * float64(s.MaxConnections()) / float64(n))
+		cold := targets.NewColdLimits(s.WarmUpRate(), d.settings.ColdOvershoot(), d.settings.ColdSlack(), n, position)
+		g.Resize(targets.NewSizing(share, cold, budget, d.used[name] && serves))
 	}
 }
-
-// sizing divides the limits of a service among n daemons.
-func sizing(s *route.Service, n int, b targets.BudgetLimits, used bool) targets.Sizing {
-	share := int(connectionShare * float64(s.MaxConnections()) / float64(n))
-	return targets.NewSizing(share, s.WarmUpRate(), b, used)
-}
--- a/node/serving.go
+++ b/node/serving.go
@@ -75,11 +75,16 @@
 	return !slices.ContainsFunc(s.candidates, self) || slices.ContainsFunc(s.selected, self)
 }
 
-// size returns how many daemons share the limits on targets.
-func (s *serving) size() int {
+// position returns this daemon's place among the daemons that share the limits
+// on targets, and their number. The place is negative for one that stands by. A
+// daemon that knows no other one takes itself for the only one.
+func (s *serving) position() (place, of int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return max(len(s.selected), 1)
+	if len(s.selected) == 0 {
+		return 0, 1
+	}
+	return slices.IndexFunc(s.selected, func(c fleet.Candidate) bool { return c.Name() == s.name }), len(s.selected)
 }
 
 // registered returns all daemons that are registered.
--- a/node/settings.go
+++ b/node/settings.go
@@ -38,12 +38,18 @@
 		Ratio float64 `yaml:"ratio"`
 		Slack float64 `yaml:"slack"`
 	} `yaml:"extra_sends"`
+	Cold struct {
+		Overshoot float64 `yaml:"overshoot"`
+		Slack     float64 `yaml:"slack"`
+	} `yaml:"cold_targets"`
 	LogLevel string `yaml:"log_level"`
 }
 
 const (
 	defaultAddressTTL = time.Second
 	defaultShutdown   = 6 * time.Second
+	// defaultColdOvershoot lets a cold target get its rate and no more.
+	defaultColdOvershoot = 1.0
 )
 
 // LoadSettings reads and checks the file at path. Errors name the position of
@@ -98,6 +104,9 @@
 	if f.Extra.Ratio < 0 || f.Extra.Slack < 0 {
 		return eris.New("extra_sends: ratio and slack must not be negative")
 	}
+	if f.Cold.Overshoot < 0 || f.Cold.Slack < 0 {
+		return eris.New("cold_targets: overshoot and slack must not be negative")
+	}
 	if f.AddressTTLMS < 0 || f.ShutdownMS < 0 {
 		return eris.New("address_ttl_ms and shutdown_ms must not be negative")
 	}
@@ -162,5 +171,17 @@
 // ExtraSlack returns how many extra sends are allowed beside the ratio.
 func (s Settings) ExtraSlack() float64 { return s.file.Extra.Slack }
 
+// ColdOvershoot returns how many times its rate a cold target bears within one
+// second, from all daemons.
+func (s Settings) ColdOvershoot() float64 {
+	if s.file.Cold.Overshoot == 0 {
+		return defaultColdOvershoot
+	}
+	return s.file.Cold.Overshoot
+}
+
+// ColdSlack returns how many requests more than that it bears.
+func (s Settings) ColdSlack() float64 { return s.file.Cold.Slack }
+
 // LogLevel returns the least severe level that is logged, "" for the default.
 func (s Settings) LogLevel() string { return s.file.LogLevel }
--- a/query/gather.go
+++ b/query/gather.go
@@ -21,19 +21,20 @@
 func (r *run) gather(ctx context.Context) Answer {
 	names := r.route.Shards()
 	parts := make([]*part, len(names))
-	reachable := 0
+	now := r.clock.Now()
+	soon := max(r.objective.Sub(now), 0)
+	open := 0
 	for i, name := range names {
 		parts[i] = &part{service: name, group: r.group(name)}
-		if parts[i].group != nil && parts[i].group.Reachable() {
-			reachable++
+		if parts[i].group != nil && parts[i].group.Prospect(soon) {
+			open++
 		}
 	}
 	needed := r.route.MinShards()
-	if reachable < needed {
-		return refuse(refusal.NoSearcher, retryDelay(), "targets of %d of %d shards are reachable, %d are needed", reachable, len(names), needed)
+	if open < needed {
+		return refuse(refusal.NoSearcher, retryDelay(), "targets of %d of %d shards take requests, %d are needed", open, len(names), needed)
 	}
 	r.results = make(chan *targets.Call, len(names)*maxSends)
-	now := r.clock.Now()
 	r.sendAll(parts, now)
 	callerLeft := true
 	defer func() {
--- a/query/world_test.go
+++ b/query/world_test.go
@@ -63,7 +63,7 @@
 func (w *world) add(name string, b shards.Behaviour) {
 	g := targets.NewGroup(name, platform.TargetProtocol(), targets.Dial(w.emulator.Dial), targets.Near("a"),
 		targets.OnCrash(func(fingerprint uint64) { w.engine.Crashed(fingerprint) }))
-	g.Resize(targets.NewSizing(3, 0, targets.NewBudgetLimits(0.2, 54, 1), true))
+	g.Resize(targets.NewSizing(3, targets.ColdLimits{}, targets.NewBudgetLimits(0.2, 54, 1), true))
 	var entries []targets.Entry
 	for i, zone := range []string{"a", "b"} {
 		e := w.emulator.Add(fmt.Sprintf("%s-%d", name, i), b)
@@ -74,6 +74,15 @@
 	w.groups[name] = g
 }
 
+// cool makes the targets of a shard cold for a while.
+func (w *world) cool(name string, d time.Duration) {
+	var entries []targets.Entry
+	for _, tgt := range w.targets[name] {
+		entries = append(entries, targets.NewEntry(tgt.ID(), name, tgt.Address(), targets.Zone("a", "r"), targets.Slots(2), targets.WarmLeft(d)))
+	}
+	w.groups[name].Update(entries)
+}
+
 func (w *world) close() {
 	for _, g := range w.groups {
 		g.Close()
--- a/standin/shards/target.go
+++ b/standin/shards/target.go
@@ -35,6 +35,7 @@
 	crashes  int
 	peak     int // The most connections at once.
 	accepted int
+	arrivals []time.Time // Of requests for this target.
 }
 
 var (
@@ -75,6 +76,21 @@
 	return runs
 }
 
+// MostArrivals returns the most requests that arrived within any span of that
+// length. Requests that were meant for another target do not count.
+func (t *Target) MostArrivals(span time.Duration) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	most, first := 0, 0
+	for i, at := range t.arrivals {
+		for at.Sub(t.arrivals[first]) >= span {
+			first++
+		}
+		most = max(most, i-first+1)
+	}
+	return most
+}
+
 // Refused returns how many requests were refused.
 func (t *Target) Refused() int {
 	t.mu.Lock()
@@ -174,6 +190,9 @@
 	if want := string(req.Header.Peek(platform.HeaderExpect)); want != "" && want != t.id {
 		return write(conn, fmt.Sprintf("HTTP/1.1 421 Misdirected Request\r\n%s: %s\r\nContent-Length: 0\r\n\r\n", platform.HeaderInstance, t.id))
 	}
+	t.mu.Lock()
+	t.arrivals = append(t.arrivals, time.Now())
+	t.mu.Unlock()
 	if t.chance(b.shedding) || !t.enter(b) {
 		t.mu.Lock()
 		t.refused++
--- a/targets/dispatch.go
+++ b/targets/dispatch.go
@@ -28,9 +28,9 @@
 		(g.move == nil || g.move.permits(t.entry.version, c.newer))
 }
 
-func (g *Group) hasTarget(c *Call) bool {
+func (g *Group) hasTarget(c *Call, now time.Time) bool {
 	for _, t := range g.targets {
-		if g.eligible(t, c) && t.accepts() {
+		if _, _, ok := g.coldFor(t, now); ok && g.eligible(t, c) && t.accepts() {
 			return true
 		}
 	}
@@ -71,14 +71,16 @@
 	g.turn++ // Among targets of the same cost each is the first in turn.
 	for i := range g.targets {
 		t := g.targets[(g.turn+i)%len(g.targets)]
-		if !g.eligible(t, c) || !t.accepts() {
+		wait, _, ok := g.coldFor(t, now)
+		if !ok || !g.eligible(t, c) || !t.accepts() {
 			continue
 		}
 		waitFor = t
 		if t.crowded(now) {
 			continue
 		}
-		if now.Before(t.coldTill) && !t.cold.ready(now, g.coldRate, g.daemons) {
+		if wait > 0 {
+			g.wake(wait)
 			continue
 		}
 		cost := t.cost(now, g.zone)
@@ -103,7 +105,7 @@
 		g.connect(best)
 	}
 	if bestConn != nil && now.Before(best.coldTill) {
-		best.cold.take(now, g.coldRate, g.daemons)
+		best.cold.take(now, g.cold)
 	}
 	return best, bestConn
 }
--- a/targets/group.go
+++ b/targets/group.go
@@ -54,15 +54,15 @@
 	waiting  []*Call
 	budget   budget
 	limit    int     // Connections to one target.
-	coldRate float64 // What a cold target bears, over all daemons.
-	daemons  int
+	cold     ColdLimits
+	waking   bool // A timer will dispatch for a cold target.
 	warm     bool // Connections are made before they are needed.
 	move     *versionMove
 }
 
 // NewGroup returns the group of a service without targets.
 func NewGroup(service string, p Protocol, opts ...Option) *Group {
-	g := &Group{service: service, protocol: p, clock: clock.System{}, limit: 1, daemons: 1, onCrash: func(uint64) {}, log: zerolog.Nop()}
+	g := &Group{service: service, protocol: p, clock: clock.System{}, limit: 1, onCrash: func(uint64) {}, log: zerolog.Nop()}
 	g.dial = func(ctx context.Context, address string) (net.Conn, error) {
 		return new(net.Dialer).DialContext(ctx, "tcp", address)
 	}
@@ -123,11 +123,11 @@
 	}
 	if g.move != nil {
 		c.newer = g.move.next(c.purpose)
-		if c.newer && !g.hasTarget(c) {
+		if c.newer && !g.hasTarget(c, now) {
 			c.newer = false // No target of the new version accepts connections.
 		}
 	}
-	if g.closed || len(g.waiting) >= maxWaiting || !g.hasTarget(c) {
+	if g.closed || len(g.waiting) >= maxWaiting || !g.hasTarget(c, now) {
 		g.mu.Unlock()
 		return false
 	}
--- a/targets/group_test.go
+++ b/targets/group_test.go
@@ -34,7 +34,7 @@
 }
 
 func (w *world) size(coldRate float64) {
-	w.group.Resize(targets.NewSizing(3, coldRate, targets.NewBudgetLimits(0.2, 54, 1), true))
+	w.group.Resize(targets.NewSizing(3, targets.NewColdLimits(coldRate, 1.5, 5, 1, 0), targets.NewBudgetLimits(0.2, 54, 1), true))
 }
 
 func (w *world) add(b shards.Behaviour, opts ...targets.EntryOption) {
