node, platform: callers are sent to daemons of their own region

Cause: the directory named all daemons that serve, whatever the region of the caller. Ruled out: the way to targets alone, which differs for each shard. Change: offers with a standing and a region; the caller's region comes first, as long as some daemon in it answers.

--- a/node/addresses.go
+++ b/node/addresses.go
@@ -3,46 +3,49 @@
 // ready reports whether callers should come to this daemon.
 func (d *Daemon) ready() bool { return !d.leaving.Load() && d.engine.Table() != nil }
 
-// addresses returns the addresses that callers are to use.
-func (d *Daemon) addresses() []string {
-	var list []string
-	if d.ready() && d.serving.includesSelf() && d.able() {
-		list = append(list, d.settings.Callers())
+// addresses returns the addresses that a caller of that region is to use.
+func (d *Daemon) addresses(region string) []string {
+	offers := d.offers()
+	if len(offers) == 0 {
+		return nil
 	}
+	return choose(offers, region)
+}
+
+// offers returns the daemons that callers may be told to use. This one is among
+// them if it can serve, or if no other is known that could.
+func (d *Daemon) offers() []offer {
 	serving := d.serving.names()
-	var standby []string
+	alive := make(map[string]bool)
+	var offers []offer
 	for _, m := range d.fleet.Alive() {
-		switch {
-		case !m.Serving() || m.Leaving():
-		case serving[m.Name()]:
-			list = append(list, m.Front())
-		default:
-			standby = append(standby, m.Front())
+		alive[m.Name()] = true
+		if !m.Serving() || m.Leaving() {
+			continue
 		}
+		o := offer{front: m.Front(), region: d.settings.RegionOf(m.Zone()), standing: standby}
+		if serving[m.Name()] {
+			o.standing = serves
+		}
+		offers = append(offers, o)
 	}
-	if len(list) > 0 {
-		return list
-	}
-	return d.lastResort(standby)
-}
-
-// lastResort returns addresses when no serving daemon is known to be able to
-// serve. Others that were heard lately come first, because only this daemon may
-// be cut off.
-func (d *Daemon) lastResort(standby []string) []string {
-	if len(standby) > 0 {
-		return standby
-	}
-	var list []string
-	for _, m := range d.fleet.Known() {
-		if m.Serving() && !m.Leaving() {
-			list = append(list, m.Front())
+	if len(offers) == 0 {
+		for _, m := range d.fleet.Known() {
+			if m.Serving() && !m.Leaving() && !alive[m.Name()] {
+				offers = append(offers, offer{front: m.Front(), region: d.settings.RegionOf(m.Zone()), standing: silent})
+			}
 		}
 	}
-	if d.ready() && (d.able() || len(list) == 0) {
-		list = append([]string{d.settings.Callers()}, list...)
+	self := offer{front: d.settings.Callers(), region: d.settings.Region(), standing: silent}
+	switch able := d.able(); {
+	case !d.ready():
+	case able && d.serving.includesSelf():
+		self.standing = serves
+		offers = append(offers, self)
+	case able || len(offers) == 0:
+		offers = append(offers, self)
 	}
-	return list
+	return offers
 }
 
 // ableShare is the part of the services in use of which a daemon must reach some
--- a/targets/group.go
+++ b/targets/group.go
@@ -46,18 +46,18 @@
 	onCrash  func(fingerprint uint64)
 	log      zerolog.Logger
 
-	mu       sync.Mutex
-	wg       sync.WaitGroup
-	closed   bool
-	targets  []*Target
-	turn     int
-	waiting  []*Call
-	budget   budget
-	limit    int     // Connections to one target.
-	cold     ColdLimits
-	waking   bool // A timer will dispatch for a cold target.
-	warm     bool // Connections are made before they are needed.
-	move     *versionMove
+	mu      sync.Mutex
+	wg      sync.WaitGroup
+	closed  bool
+	targets []*Target
+	turn    int
+	waiting []*Call
+	budget  budget
+	limit   int // Connections to one target.
+	cold    ColdLimits
+	waking  bool // A timer will dispatch for a cold target.
+	warm    bool // Connections are made before they are needed.
+	move    *versionMove
 }
 
 // NewGroup returns the group of a service without targets.
