targets, query: deadlines count the time for which a VM was paused

Cause: the deadline of a request was monotonic time, which stands still while a VM is paused. A daemon that woke sent on what had waited, with time left that its callers did not have. Also the first line 'store answers' of a start told a time lost since the VM's boot. Ruled out: the end of the caller's connection as the only sign; it comes late. Change: deadlines are boot times; what has passed its own is not sent; the log line has the time only where there was contact before.

--- a/mirror/follower.go
+++ b/mirror/follower.go
@@ -254,7 +254,11 @@
 	if err == nil || errors.Is(err, ErrHistoryGone) {
 		last := time.Duration(f.contact.Swap(int64(now)))
 		if !f.connected.Swap(true) {
-			f.log.Info().Dur("lost_for", now-last).Msg("store answers")
+			l := f.log.Info()
+			if last > 0 {
+				l = l.Dur("lost_for", now-last)
+			}
+			l.Msg("store answers")
 		}
 		return
 	}
--- a/query/run.go
+++ b/query/run.go
@@ -43,6 +43,10 @@
 
 // attempt sends the part to another target. A hedge runs beside an earlier call.
 func (r *run) attempt(p *part, tag int, now time.Time, hedge bool) bool {
+	if r.clock.Boot() >= r.send.Deadline() {
+		r.end = now // The VM was paused; the caller has given up meanwhile.
+		return false
+	}
 	if p.mayRun >= r.maxTargets() || p.refused > maxRefused {
 		return false
 	}
--- a/targets/dispatch.go
+++ b/targets/dispatch.go
@@ -42,7 +42,12 @@
 func (g *Group) dispatch(now time.Time) []transmission {
 	var sends []transmission
 	left := g.waiting[:0]
+	boot := g.clock.Boot()
 	for _, c := range g.waiting {
+		if c.req.deadline <= boot {
+			g.finish(c, now, NotSent, "the caller's deadline has passed")
+			continue
+		}
 		t, conn := g.choose(c, now)
 		switch {
 		case conn != nil:
@@ -135,7 +140,7 @@
 	conn.call = c
 	conn.used = true
 	t.calls = append(t.calls, c)
-	left := max(c.req.deadline.Sub(now), time.Millisecond)
+	left := max(c.req.deadline-g.clock.Boot(), time.Millisecond)
 	b := g.protocol.Append(nil, c.req, t.entry.id, left)
 	large := len(c.req.body) >= largeBody
 	conn.writing = large
--- a/targets/request.go
+++ b/targets/request.go
@@ -15,16 +15,16 @@
 	header      []Field
 	body        []byte
 	idempotent  bool
-	deadline    time.Time
+	deadline    time.Duration
 	fingerprint uint64
 }
 
 // Field is one header field.
 type Field struct{ Name, Value string }
 
-// NewRequest returns the request of that id. Deadline is the time, on the
-// daemon's monotonic clock, until which the caller waits.
-func NewRequest(id, method, uri, host string, header []Field, body []byte, idempotent bool, deadline time.Time) *Request {
+// NewRequest returns the request of that id. Deadline is the boot time until which
+// the caller waits, so that a pause of the VM counts.
+func NewRequest(id, method, uri, host string, header []Field, body []byte, idempotent bool, deadline time.Duration) *Request {
 	h := xxhash.New()
 	for _, s := range []string{method, host, uri} {
 		_, _ = h.WriteString(s) // It never fails.
@@ -59,5 +59,5 @@
 // Body returns the whole body.
 func (r *Request) Body() []byte { return r.body }
 
-// Deadline returns the time until which the caller waits.
-func (r *Request) Deadline() time.Time { return r.deadline }
+// Deadline returns the boot time until which the caller waits.
+func (r *Request) Deadline() time.Duration { return r.deadline }
