platform: oversized headers and slow bodies of callers end with 431 and 408

Cause: the callers' listener enforced the body's size only. A body that never arrived held a goroutine and its buffers until the caller closed; a header of up to 1 MB was taken whatever the configuration's limit. Ruled out: the server's ReadTimeout, which would also end the wait for an answer. Two kinds of refusal, both not run.

--- a/refusal/answer.go
+++ b/refusal/answer.go
@@ -35,6 +35,8 @@
 var table = []Answer{
 	{Malformed, 400, NotRun, RetryNever},
 	{TooLarge, 413, NotRun, RetryNever},
+	{HeaderTooLarge, 431, NotRun, RetryNever},
+	{TooSlow, 408, NotRun, RetryLater},
 	{UnknownService, 404, NotRun, RetryNever},
 	{UnknownOwner, 403, NotRun, RetryNever},
 	{ClassDenied, 403, NotRun, RetryNever},
--- a/refusal/kind.go
+++ b/refusal/kind.go
@@ -11,6 +11,10 @@
 	Malformed Kind = "malformed"
 	// TooLarge is a request or reply over its size limit.
 	TooLarge Kind = "too_large"
+	// HeaderTooLarge is a request whose header is over its size limit.
+	HeaderTooLarge Kind = "header_too_large"
+	// TooSlow is a request whose body did not arrive while its caller waited.
+	TooSlow Kind = "too_slow"
 	// UnknownService is a service that the catalogue does not list.
 	UnknownService Kind = "unknown_service"
 	// UnknownOwner is an owner that the catalogue does not list.
