node, mirror, platform: daemons that serve read the store at their start; copies are compressed

Those that callers are sent to waited 450 ms for the daemons that their settings name, which happened to start last; then 24 daemons listed the store, and the others fetched 120 KB each from the first that knew, whose link was full. Ruled out: the store (4 ms a page), processor time (1% of a core). Change: a starting daemon reads the registry in the cheap way and, if it is one of those that serve, everything else at once. Copies for neighbours are compressed (gzhttp). A kind that is not known looks every 10 ms whether the store answers.

--- a/mirror/follower.go
+++ b/mirror/follower.go
@@ -36,6 +36,9 @@
 	lastDelay  = 400 * time.Millisecond
 	// idleCheck is how often a daemon that does not watch looks whether it should.
 	idleCheck = 100 * time.Millisecond
+	// startCheck is how often a kind that is not known looks whether the store
+	// answers; callers wait meanwhile.
+	startCheck = 10 * time.Millisecond
 )
 
 // FreshContact is the age of a daemon's last contact with the store up to which
@@ -124,7 +127,11 @@
 		known := f.mirror.Known(k.name)
 		if known && !f.elect() || !f.connected.Load() && (known || !k.lead) {
 			fresh = false
-			_ = clock.Sleep(ctx, f.clock, idleCheck) // Ends early only with ctx.
+			check := idleCheck
+			if !known {
+				check = startCheck
+			}
+			_ = clock.Sleep(ctx, f.clock, check) // Ends early only with ctx.
 			continue
 		}
 		var err error
--- a/mirror/rpc.go
+++ b/mirror/rpc.go
@@ -1,15 +1,29 @@
 package mirror
 
 import (
+	"compress/gzip"
 	"context"
 	"net/http"
 
+	"github.com/klauspost/compress/gzhttp"
+	"github.com/rotisserie/eris"
+
 	"medlaryard.example/medlaryard/mirror/mirrorpb"
 )
 
-// Handler serves the changes of m to neighbours.
-func Handler(m *Mirror) http.Handler {
-	return mirrorpb.NewMirrorServer(service{m})
+// minCompressed is the size in bytes from which answers are compressed; smaller
+// ones fit one packet.
+const minCompressed = 1400
+
+// Handler serves the changes of m to neighbours. All daemons that start need the
+// whole copy at once, so that the link of the first one that has it would be
+// full; compressed answers take about a fifth.
+func Handler(m *Mirror) (http.Handler, error) {
+	compressed, err := gzhttp.NewWrapper(gzhttp.MinSize(minCompressed), gzhttp.CompressionLevel(gzip.BestSpeed))
+	if err != nil {
+		return nil, eris.Wrap(err, "compression of answers to neighbours")
+	}
+	return compressed(mirrorpb.NewMirrorServer(service{m})), nil
 }
 
 type service struct{ mirror *Mirror }
--- a/node/daemon.go
+++ b/node/daemon.go
@@ -45,6 +45,9 @@
 	// seedWait is how long a daemon waits for others to tell it what the store
 	// holds; they start within 300 ms of one another.
 	seedWait = 450 * time.Millisecond
+	// registryTimeout bounds the reading of the registry before that; the store
+	// usually answers in some milliseconds.
+	registryTimeout = 300 * time.Millisecond
 	// seedCheck is how often it looks.
 	seedCheck = 25 * time.Millisecond
 	// notifyEvery is the least time between two notices of changes.
@@ -134,7 +137,6 @@
 				Timeout:         fetchTimeout,
 				KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: peerProbeIdle, Interval: peerProbeIdle / 2, Count: 2},
 			}).DialContext,
-			DisableCompression: true,
 		}},
 	}
 	d.mirror = mirror.New(d.changed, platform.KindConfig, platform.KindTargets, platform.KindMoves, platform.KindEvacuations, platform.KindDaemons)
--- a/node/listen.go
+++ b/node/listen.go
@@ -21,6 +21,10 @@
 	}
 	d.fleet = fleet.New(conn, d.describe, fleet.Clock(d.clock), fleet.Log(d.log), fleet.OnHeartbeat(d.heard),
 		fleet.Recipients(d.recipients))
+	neighbours, err := mirror.Handler(d.mirror)
+	if err != nil {
+		return err
+	}
 	for _, l := range []struct {
 		address string
 		handler http.Handler
@@ -29,7 +33,7 @@
 		{d.settings.Ready(), platform.Ready(d.ready)},
 		{d.settings.Directory(), platform.Directory(d.addresses, d.settings.AddressTTL())},
 		{d.settings.Operators(), operatorsHandler()},
-		{d.settings.PeerAddress(), mirror.Handler(d.mirror)},
+		{d.settings.PeerAddress(), neighbours},
 	} {
 		if err := d.serve(l.address, l.handler); err != nil {
 			return err
--- a/node/watching.go
+++ b/node/watching.go
@@ -2,19 +2,24 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"medlaryard.example/medlaryard/clock"
+	"medlaryard.example/medlaryard/fleet"
 	"medlaryard.example/medlaryard/mirror"
 	"medlaryard.example/medlaryard/platform"
 )
 
-// follow follows the store. A daemon that others start from reads it at once;
-// the others first wait for what these tell them, which spares the store.
+// follow follows the store. A daemon that others start from, or that callers are
+// sent to, reads it at once; the others first wait for what these tell them, which
+// spares the store.
 func (d *Daemon) follow(ctx context.Context, seed bool) {
-	for waited := time.Duration(0); !seed && waited < seedWait && !d.mirror.Known(platform.KindTargets); waited += seedCheck {
-		if clock.Sleep(ctx, d.clock, seedCheck) != nil {
-			return
+	if !seed && !d.servesFromStart(ctx) {
+		for waited := time.Duration(0); waited < seedWait && !d.mirror.Known(platform.KindTargets); waited += seedCheck {
+			if clock.Sleep(ctx, d.clock, seedCheck) != nil {
+				return
+			}
 		}
 	}
 	d.follower.Run(ctx,
@@ -25,6 +30,26 @@
 		mirror.NewKind(platform.KindDaemons, ordersReread, gatherChanges))
 }
 
+// servesFromStart reports whether the registry names this daemon as one that
+// serves callers. When the system starts for the first time it names none.
+func (d *Daemon) servesFromStart(ctx context.Context) bool {
+	call, cancel := context.WithTimeout(ctx, registryTimeout)
+	defer cancel()
+	registered, err := d.store.Daemons(call)
+	if err != nil {
+		d.log.Warn().Err(err).Msg("the registry of daemons was not read at the start; waiting for other daemons")
+		return false
+	}
+	return selects(registered, d.settings.Name())
+}
+
+// selects reports whether the daemon of that name is among those that serve when
+// none is lost.
+func selects(registered []fleet.Candidate, name string) bool {
+	serving := fleet.Select(registered, func(string) bool { return false })
+	return slices.ContainsFunc(serving, func(c fleet.Candidate) bool { return c.Name() == name })
+}
+
 // watches reports whether this daemon is to watch the store. The first by name
 // of the serving daemons that reach the store does; another takes over within
 // about two seconds, before a change must be in force. One that stands by watches
--- /dev/null
+++ b/node/watching_test.go
@@ -0,0 +1,35 @@
+package node
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"medlaryard.example/medlaryard/fleet"
+)
+
+// Guards against daemons that all read the whole store when the system starts
+// again, and against those that serve callers waiting for others to start.
+func TestWhoReadsTheStoreAtTheStart(t *testing.T) {
+	var registered []fleet.Candidate
+	for i := range 40 {
+		capacity := 0.2
+		if i < 4 {
+			capacity = 0.8
+		}
+		registered = append(registered, fleet.NewCandidate(fmt.Sprintf("d%02d", i), fmt.Sprintf("z%d", i%2), fmt.Sprintf("10.0.0.%d:7", i), capacity))
+	}
+	var reads []string
+	for _, c := range registered {
+		if selects(registered, c.Name()) {
+			reads = append(reads, c.Name())
+		}
+	}
+	if diff := cmp.Diff([]string{"d00", "d01", "d02", "d03"}, reads); diff != "" {
+		t.Errorf("daemons that read the store at once (-want +got):\n%s", diff)
+	}
+	if selects(nil, "d00") {
+		t.Error("a daemon reads the store at once although the registry names none")
+	}
+}
