query, targets: strained shards are shared out among requests

Ruled out: overload of the sound targets (the other 85 parts were in time). Group.Outlook tells the expected time; deferred parts are sent, the most promising first, while those in or under way are too few. No hedges where all targets are known to be slow.

--- a/query/gather.go
+++ b/query/gather.go
@@ -35,6 +35,7 @@
 		return refuse(refusal.NoSearcher, retryDelay(), "targets of %d of %d shards take requests, %d are needed", open, len(names), needed)
 	}
 	r.results = make(chan *targets.Call, len(names)*maxSends)
+	r.strain(parts, needed, now)
 	r.sendAll(parts, now)
 	callerLeft := true
 	defer func() {
@@ -45,7 +46,9 @@
 	timer := r.clock.NewTimer(r.nextCheck(parts, now).Sub(now))
 	defer timer.Stop()
 	for {
-		switch now = r.clock.Now(); r.judge(now, count(parts, needed)) {
+		now = r.clock.Now()
+		r.release(parts, needed, now)
+		switch r.judge(now, count(parts, needed)) {
 		case answer:
 			callerLeft = false
 			r.noteSilent(parts)
@@ -107,7 +110,7 @@
 // first; the others follow once that has answered.
 func (r *run) sendAll(parts []*part, now time.Time) {
 	for i, p := range parts {
-		if p.group == nil || len(p.calls) > 0 {
+		if p.group == nil || p.deferred || len(p.calls) > 0 {
 			continue
 		}
 		if r.attempt(p, i, now, false) && r.suspect > 0 {
@@ -133,7 +136,7 @@
 // parts without any target once more.
 func (r *run) hedge(parts []*part, now time.Time) {
 	for i, p := range parts {
-		if p.answer != nil || p.group == nil {
+		if p.answer != nil || p.group == nil || p.deferred {
 			continue
 		}
 		if p.open == 0 {
@@ -150,7 +153,7 @@
 func (r *run) nextCheck(parts []*part, now time.Time) time.Time {
 	next := r.next(now)
 	for _, p := range parts {
-		if p.answer != nil || p.group == nil {
+		if p.answer != nil || p.group == nil || p.deferred {
 			continue
 		}
 		var t time.Time
@@ -184,6 +187,7 @@
 
 // merge makes the answer from the parts that are in.
 func (r *run) merge(parts []*part) Answer {
+	countDeferred(parts)
 	m := &Merged{}
 	bodies := make([][]byte, 0, len(parts))
 	for _, p := range parts {
--- a/query/load_test.go
+++ b/query/load_test.go
@@ -98,6 +98,43 @@
 	}
 }
 
+// Guards against requests that all wait for the same slow shards, whose targets
+// then answer none of them, although a few of these parts would do for each. Four
+// of 20 shards have only targets that take twelve times as long; 18 parts are
+// needed. A daemon sends slow targets one request at a time, so the four shards
+// serve it 60 parts a second: 40 of the 80 that could be asked of them suffice.
+func TestSlowShardsAreSharedOut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 12, 20, sound())
+		defer w.close()
+		w.load(20, 3*time.Second)
+		for i := range 4 {
+			for _, tgt := range w.targets[fmt.Sprintf("shard%d", i)] {
+				tgt.Become(sound(shards.Slow(12)))
+			}
+		}
+		w.load(20, 2*time.Second)
+		replies := w.load(20, 8*time.Second)
+		answered, _ := served(replies, 1500*time.Millisecond)
+		if answered < 0.95 {
+			t.Errorf("%.3f of the requests were answered, want 0.95", answered)
+		}
+		if median := medianTook(replies); median > 400*time.Millisecond {
+			t.Errorf("the median answer took %v, want 400ms at most", median)
+		}
+	})
+}
+
+// medianTook returns the median time until an answer or refusal.
+func medianTook(replies []reply) time.Duration {
+	took := make([]time.Duration, len(replies))
+	for i, r := range replies {
+		took[i] = r.took
+	}
+	slices.Sort(took)
+	return took[len(took)/2]
+}
+
 // Guards against holding requests that cannot be answered, and against a
 // refusal that claims nothing ran although parts did.
 func TestTooManyShardsDown(t *testing.T) {
--- a/query/run.go
+++ b/query/run.go
@@ -34,6 +34,10 @@
 	refused int // Calls that a target refused without running them.
 	tried   time.Time
 	counted bool          // The group has earned budget by the request.
+
+	expected time.Duration // When an answer was to be expected at the arrival of the request.
+	deferred bool          // It is sent only if other parts do not suffice.
+
 	answer  *targets.Call // The success.
 	failure *targets.Call // The last complete answer that reports a failure.
 }
@@ -82,7 +86,7 @@
 	case targets.Retry:
 		r.note("retried", p.service, "", "the call before failed")
 	case targets.Hedge:
-		r.note("hedged", p.service, "", "no answer for "+r.hedgeAfter.Round(time.Millisecond).String())
+		r.note("hedged", p.service, "", "no answer for "+r.patienceWith(p).Round(time.Millisecond).String())
 	case targets.First, targets.Resend:
 	}
 	return true
@@ -100,7 +104,7 @@
 // hedgePart sends the part to a second target beside a call that was sent and has
 // not been answered for long.
 func (r *run) hedgePart(p *part, tag int, now time.Time) {
-	if p.open != 1 || now.Before(p.tried.Add(r.hedgeAfter)) {
+	if p.open != 1 || now.Before(p.tried.Add(r.patienceWith(p))) {
 		return
 	}
 	if _, _, sent := p.group.Placed(p.calls[len(p.calls)-1]); sent && r.attempt(p, tag, now, true) {
@@ -108,9 +112,15 @@
 	}
 }
 
+// patienceWith returns how long a part may take before a second target is asked.
+// Where all targets were known to be slow another one is no faster.
+func (r *run) patienceWith(p *part) time.Duration {
+	return max(r.hedgeAfter, time.Duration(strainedPatience*float64(p.expected)))
+}
+
 // nextHedge returns when a hedge may be due.
 func (r *run) nextHedge(p *part, now time.Time) time.Time {
-	if t := p.tried.Add(r.hedgeAfter); t.After(now) {
+	if t := p.tried.Add(r.patienceWith(p)); t.After(now) {
 		return t
 	}
 	return now.Add(recheck) // The budget was spent, or the call waits.
--- a/query/story.go
+++ b/query/story.go
@@ -41,6 +41,10 @@
 		if p.answer != nil || p.group == nil {
 			continue
 		}
+		if p.deferred {
+			r.note("deferred", p.service, "", "an answer was to be expected after "+p.expected.Round(time.Millisecond).String())
+			continue
+		}
 		if len(p.calls) == 0 {
 			r.note("not sent", p.service, "", "no target of the shard accepts connections")
 		}
--- a/targets/target.go
+++ b/targets/target.go
@@ -114,6 +114,17 @@
 	return cost
 }
 
+// expected returns the expected time until an answer to a further request, in
+// usual latencies, with so many requests waiting here for the group's targets.
+func (t *Target) expected(now time.Time, zone string, waiting int) float64 {
+	cost := t.cost(now, zone)
+	if t.crowded(now) {
+		slowness, _ := t.decayed(now)
+		cost += slowness * float64(waiting+1)
+	}
+	return cost
+}
+
 // crowded reports whether a further request would only wait at the target. A
 // slow one gets one request at a time from each daemon; the others wait here,
 // where they can still go elsewhere or be withdrawn.
