targets, node: daemons tell each other of failures of targets

Ruled out: telling slow answers too: a pause delays one request of every daemon, and the sum of their reports would shut out a target that is sound again. Change: heartbeats carry the failures and give-ups of the last second, at most 100, numbered so that each counts once. A daemon for which most outcomes are bad tells none. Receivers observe them as their own.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -196,7 +196,7 @@
 		name: h.GetName(), incarnation: h.GetIncarnation(), zone: h.GetZone(), front: h.GetFront(),
 		peer: h.GetPeer(), leaving: h.GetLeaving(), serving: h.GetServing(),
 		storeAge: time.Duration(h.GetStoreAgeMs()) * time.Millisecond,
-		versions: h.GetVersions(), moves: h.GetMoves(), strikes: h.GetStrikes(), heard: f.clock.Now(),
+		versions: h.GetVersions(), moves: h.GetMoves(), strikes: h.GetStrikes(), reports: h.GetReports(), heard: f.clock.Now(),
 	}
 	f.mu.Lock()
 	known := f.members[m.peer]
--- a/fleet/member.go
+++ b/fleet/member.go
@@ -20,6 +20,7 @@
 	versions    map[string]uint64
 	moves       []*mirrorpb.MoveEvidence
 	strikes     []*peerpb.CrashStrike
+	reports     *mirrorpb.TargetReports
 	heard       time.Time
 }
 
@@ -50,5 +51,11 @@
 // Moves returns what the daemon saw of services that move to another version.
 func (m Member) Moves() []*mirrorpb.MoveEvidence { return m.moves }
 
+// Incarnation tells apart the starts of a daemon.
+func (m Member) Incarnation() uint64 { return m.incarnation }
+
+// Reports returns failures of targets that the daemon saw lately; nil if none.
+func (m Member) Reports() *mirrorpb.TargetReports { return m.reports }
+
 // Strikes returns requests that crashed targets, as the daemon knows them.
 func (m Member) Strikes() []*peerpb.CrashStrike { return m.strikes }
--- a/node/daemon.go
+++ b/node/daemon.go
@@ -74,6 +74,7 @@
 	serving  *serving
 	engine   *query.Engine
 	suspects *admission.Suspects
+	reports  *targets.Reports
 	peers    *http.Client
 
 	incarnation uint64
@@ -89,8 +90,11 @@
 
 	configRevision uint64 // The store's revision of the configuration that was read last.
 
-	expiry   clock.Timer
-	moves    map[string]*moveState // By service.
+	expiry clock.Timer
+	moves  map[string]*moveState // By service.
+
+	heardReports map[string]*heardReports // By peer address.
+
 	wg       sync.WaitGroup
 	servers  []*http.Server
 	failures chan error
@@ -131,7 +135,11 @@
 		roster:      newRoster(l),
 		groups:      make(map[string]*targets.Group),
 		moves:       make(map[string]*moveState),
-		failures:    make(chan error, 1),
+		reports:     targets.NewReports(c),
+
+		heardReports: make(map[string]*heardReports),
+
+		failures: make(chan error, 1),
 		peers: &http.Client{Transport: &http.Transport{
 			DialContext: (&net.Dialer{
 				Timeout:         fetchTimeout,
--- a/node/neighbours.go
+++ b/node/neighbours.go
@@ -49,6 +49,7 @@
 		Versions:   d.mirror.Versions(),
 		Moves:      d.moveEvidence(),
 		Strikes:    d.suspects.Strikes(maxStrikes),
+		Reports:    d.targetReports(),
 	}
 }
 
@@ -59,6 +60,7 @@
 // fetches changes that it has and this one lacks.
 func (d *Daemon) heard(m fleet.Member) {
 	d.suspects.Merge(m.Strikes())
+	d.hearReports(m)
 	own := d.mirror.Versions()
 	for kind, v := range m.Versions() {
 		if have, ok := own[kind]; !ok || have < v {
--- /dev/null
+++ b/node/reports.go
@@ -0,0 +1,74 @@
+package node
+
+import (
+	"medlaryard.example/medlaryard/fleet"
+	"medlaryard.example/medlaryard/mirror/mirrorpb"
+	"medlaryard.example/medlaryard/targets"
+)
+
+// heardReports tells which failures another daemon has told already. Only the
+// goroutine that receives heartbeats uses it.
+type heardReports struct {
+	incarnation uint64
+	next        uint64 // The number of the first report that is new.
+}
+
+// fresh returns the reports of a heartbeat that were not taken in before, by the
+// fingerprint of the target.
+func (h *heardReports) fresh(incarnation uint64, r *mirrorpb.TargetReports) map[uint64][]targets.Report {
+	if h.incarnation != incarnation {
+		*h = heardReports{incarnation: incarnation}
+	}
+	var fresh map[uint64][]targets.Report
+	for i, w := range r.GetReports() {
+		number := r.GetFirst() + uint64(i)
+		if number < h.next {
+			continue
+		}
+		h.next = number + 1
+		if fresh == nil {
+			fresh = make(map[uint64][]targets.Report)
+		}
+		fresh[w.GetTarget()] = append(fresh[w.GetTarget()], targets.NewReport(w.GetTarget(), float64(w.GetTenths())/reportScale))
+	}
+	return fresh
+}
+
+// reportScale is the factor of latencies in reports, which have tenths.
+const reportScale = 10
+
+// targetReports is what this daemon tells of failures it saw, for the heartbeats.
+func (d *Daemon) targetReports() *mirrorpb.TargetReports {
+	first, reports := d.reports.Recent()
+	if len(reports) == 0 {
+		return nil
+	}
+	w := &mirrorpb.TargetReports{First: first}
+	for _, r := range reports {
+		w.Reports = append(w.Reports, &mirrorpb.TargetReport{Target: r.Target(), Tenths: uint32(r.Ratio() * reportScale)})
+	}
+	return w
+}
+
+// hearReports takes in failures that another daemon saw, so that a bad target
+// need not be found out by each daemon on its own.
+func (d *Daemon) hearReports(m fleet.Member) {
+	if !d.serving.includesSelf() || m.Name() == d.settings.Name() {
+		return
+	}
+	h := d.heardReports[m.Peer()]
+	if h == nil {
+		h = &heardReports{}
+		d.heardReports[m.Peer()] = h
+	}
+	fresh := h.fresh(m.Incarnation(), m.Reports())
+	if len(fresh) == 0 {
+		return
+	}
+	d.mu.Lock()
+	groups := d.groups
+	d.mu.Unlock()
+	for _, g := range groups {
+		g.Hear(fresh)
+	}
+}
--- /dev/null
+++ b/node/reports_test.go
@@ -0,0 +1,47 @@
+package node
+
+import (
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"medlaryard.example/medlaryard/mirror/mirrorpb"
+)
+
+// Guards against a failure that counts several times because heartbeats repeat
+// it, and against one that is missed because a heartbeat was lost or its sender
+// has started again.
+func TestReportsCountOnce(t *testing.T) {
+	message := func(first uint64, targets ...uint64) *mirrorpb.TargetReports {
+		w := &mirrorpb.TargetReports{First: first}
+		for _, id := range targets {
+			w.Reports = append(w.Reports, &mirrorpb.TargetReport{Target: id, Tenths: 25})
+		}
+		return w
+	}
+	h := &heardReports{}
+	for _, c := range []struct {
+		name        string
+		incarnation uint64
+		message     *mirrorpb.TargetReports
+		want        map[uint64]int
+	}{
+		{"first", 1, message(0, 7, 8), map[uint64]int{7: 1, 8: 1}},
+		{"repeated with one more", 1, message(0, 7, 8, 7), map[uint64]int{7: 1}},
+		{"none", 1, nil, map[uint64]int{}},
+		{"after lost heartbeats", 1, message(9, 5, 5), map[uint64]int{5: 2}},
+		{"late", 1, message(3, 6), map[uint64]int{}},
+		{"after a restart of the sender", 2, message(0, 6), map[uint64]int{6: 1}},
+	} {
+		got := make(map[uint64]int)
+		for id, reports := range h.fresh(c.incarnation, c.message) {
+			got[id] = len(reports)
+			if r := reports[0].Ratio(); r != 2.5 {
+				t.Errorf("%s: ratio %v, want 2.5", c.name, r)
+			}
+		}
+		if diff := cmp.Diff(c.want, got); diff != "" {
+			t.Errorf("%s: new reports by target (-want +got):\n%s", c.name, diff)
+		}
+	}
+}
--- a/query/run.go
+++ b/query/run.go
@@ -33,7 +33,7 @@
 	mayRun  int // Calls that may have run or may still run.
 	refused int // Calls that a target refused without running them.
 	tried   time.Time
-	counted bool          // The group has earned budget by the request.
+	counted bool // The group has earned budget by the request.
 
 	expected time.Duration // When an answer was to be expected at the arrival of the request.
 	deferred bool          // It is sent only if other parts do not suffice.
--- a/targets/abandon.go
+++ b/targets/abandon.go
@@ -57,7 +57,9 @@
 	}
 	now := g.clock.Now()
 	meter.Count("target.given_up", 1)
-	c.target.observe(now, float64(now.Sub(c.sent))/float64(c.pace.Median()), true)
+	ratio := float64(now.Sub(c.sent)) / float64(c.pace.Median())
+	c.target.observe(now, ratio, true)
+	g.reports.note(now, c.target.fingerprint, ratio, true)
 	c.state = callDone
 	c.conn.call = nil
 	c.target.removeCall(c)
--- a/targets/answer.go
+++ b/targets/answer.go
@@ -88,10 +88,12 @@
 	case Answered:
 		c.pace.Observe(latency)
 		c.target.observe(now, ratio, false)
+		g.reports.note(now, c.target.fingerprint, ratio, false)
 	case Misdirected:
 		g.misdirected(c.target)
 	default:
 		c.target.observe(now, 0, true)
+		g.reports.note(now, c.target.fingerprint, 0, true)
 	}
 	if g.move != nil {
 		g.move.count(c.target.entry.version, o != Answered && o.MayHaveRun() || ratio > slowAnswer)
--- a/targets/entry.go
+++ b/targets/entry.go
@@ -1,6 +1,11 @@
 package targets
 
-import "time"
+import (
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
 
 // Entry is what the platform publishes about one running target.
 type Entry struct {
@@ -51,6 +56,11 @@
 	return e.id == o.id && e.born == o.born && e.address == o.address
 }
 
+// fingerprint is the same on all daemons for the same start of a target.
+func (e Entry) fingerprint() uint64 {
+	return xxhash.Sum64String(e.id + "\x00" + strconv.FormatInt(e.born, 10) + "\x00" + e.address)
+}
+
 // EntryOption sets one property of an Entry.
 type EntryOption func(*Entry)
 
--- a/targets/group.go
+++ b/targets/group.go
@@ -44,6 +44,7 @@
 	dial     func(ctx context.Context, address string) (net.Conn, error)
 	zone     string
 	onCrash  func(fingerprint uint64)
+	reports  *Reports
 	log      zerolog.Logger
 
 	mu      sync.Mutex
@@ -69,6 +70,9 @@
 	for _, o := range opts {
 		o(g)
 	}
+	if g.reports == nil {
+		g.reports = NewReports(g.clock)
+	}
 	return g
 }
 
@@ -81,7 +85,7 @@
 	for _, e := range entries {
 		t := g.find(e)
 		if t == nil {
-			t = &Target{group: g, id: e.id, address: e.address, entry: e}
+			t = &Target{group: g, id: e.id, address: e.address, fingerprint: e.fingerprint(), entry: e}
 			g.log.Info().Str("service", g.service).Str("target", e.id).Str("address", e.address).
 				Dur("cold_for", e.warmLeft).Msg("target added")
 		}
--- a/targets/option.go
+++ b/targets/option.go
@@ -27,5 +27,8 @@
 // under way when a target crashed. It must not block.
 func OnCrash(f func(fingerprint uint64)) Option { return func(g *Group) { g.onCrash = f } }
 
+// ReportTo sets where failures are collected for other daemons.
+func ReportTo(r *Reports) Option { return func(g *Group) { g.reports = r } }
+
 // Log sets where state changes of targets are logged.
 func Log(l zerolog.Logger) Option { return func(g *Group) { g.log = l } }
--- a/targets/target.go
+++ b/targets/target.go
@@ -46,10 +46,11 @@
 // Target is one start of a target as this daemon knows it. The group's lock
 // guards it.
 type Target struct {
-	group   *Group
-	id      string // The same in all entries of this start, so read without the lock.
-	address string // As id.
-	entry   Entry
+	group       *Group
+	id          string // The same in all entries of this start, so read without the lock.
+	address     string // As id.
+	fingerprint uint64 // Of identity and start, as id.
+	entry       Entry
 
 	conns   []*conn
 	dialing int
