node, docs: metrics tell configuration, store contact, peers and budgets

Cause: the metrics had counters only; an operator could not see which configuration a daemon has in force or how old its contact with the store is without the logs. Change: gauges that are set when the metrics are read; TestMetricsTellTheState.

--- a/node/apply.go
+++ b/node/apply.go
@@ -29,6 +29,7 @@
 	d.updateGroups(now)
 	if newer {
 		d.engine.Install(d.table, d.groups)
+		d.installed = d.clock.Boot()
 		d.log.Info().Uint64("configuration", d.table.Version()).Int("services", len(d.groups)).Msg("configuration in force")
 	}
 }
--- a/node/daemon.go
+++ b/node/daemon.go
@@ -86,7 +86,10 @@
 	roster *roster
 	groups map[string]*targets.Group
 	table  *route.Table
-	used   map[string]bool // Services that some route of the table uses.
+
+	installed time.Duration // Boot time at which the table came into force.
+
+	used map[string]bool // Services that some route of the table uses.
 
 	configRevision uint64 // The store's revision of the configuration that was read last.
 
--- a/node/daemon_test.go
+++ b/node/daemon_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
 	"slices"
 	"strings"
@@ -51,6 +52,31 @@
 	}
 }
 
+// Guards against operators who cannot see which configuration a daemon has, how
+// old its knowledge is and what it cannot reach.
+func TestMetricsTellTheState(t *testing.T) {
+	c := newCluster(t, 2, 3)
+	c.send(c.daemons[0].ip, "GET", "/match/m", "m", "")
+	resp, err := http.Get(fmt.Sprintf("http://%s:%d/metrics", c.daemons[0].ip, operatorsPort))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, want := range []string{
+		fmt.Sprintf("medlaryard_configuration_version %d\n", c.version), "medlaryard_configuration_age_ms ", "medlaryard_store_age_ms ",
+		"medlaryard_daemons_serving ", "medlaryard_services_used 4\n", "medlaryard_services_unreachable 0\n",
+		"medlaryard_budget_least ", "medlaryard_query_latency_match{quantile=", "medlaryard_target_outcome_answered_total ",
+	} {
+		if !strings.Contains(string(body), want) {
+			t.Errorf("metrics lack %q", want)
+		}
+	}
+}
+
 // Guards against a daemon that keeps to an older configuration: because another
 // daemon watches for it, the watch hears nothing, or the history was dropped.
 func TestConfigurationReachesAllDaemons(t *testing.T) {
--- a/node/listen.go
+++ b/node/listen.go
@@ -32,7 +32,7 @@
 		{d.settings.Callers(), platform.NewFront(d.engine, d.clock, d.leaving.Load)},
 		{d.settings.Ready(), platform.Ready(d.ready)},
 		{d.settings.Directory(), platform.Directory(d.addresses, d.settings.AddressTTL())},
-		{d.settings.Operators(), operatorsHandler()},
+		{d.settings.Operators(), operatorsHandler(d.gauges)},
 		{d.settings.PeerAddress(), neighbours},
 	} {
 		if err := d.serve(l.address, l.handler); err != nil {
@@ -72,10 +72,12 @@
 	}
 }
 
-// operatorsHandler serves the metrics.
-func operatorsHandler() http.Handler {
+// operatorsHandler serves the metrics. Gauges brings those up to date that tell
+// the present state.
+func operatorsHandler(gauges func()) http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
+		gauges()
 		if err := meter.WriteText(w); err != nil {
 			meter.Count("node.metrics_failed", 1)
 		}
