query, platform, node: when callers come back; requests wait for a daemon that starts

After the closing fault requests that reach a daemon 5 to 50 ms before it knows its targets were refused too. Ruled out: holding the refused ones, which the users do not want where it is known that a request cannot be served.

--- a/node/apply.go
+++ b/node/apply.go
@@ -32,6 +32,9 @@
 		d.installed = d.clock.Boot()
 		d.log.Info().Uint64("configuration", d.table.Version()).Int("services", len(d.groups)).Msg("configuration in force")
 	}
+	if d.mirror.Known(platform.KindTargets) {
+		d.starting.Do(func() { close(d.started) })
+	}
 }
 
 // readConfig takes a configuration that is newer than the one in force and makes
--- a/node/daemon.go
+++ b/node/daemon.go
@@ -79,6 +79,8 @@
 
 	incarnation uint64
 	leaving     atomic.Bool
+	started     chan struct{} // Closed once configuration and targets are known.
+	starting    sync.Once
 	changes     chan struct{}
 	fetches     chan string
 
@@ -133,6 +135,7 @@
 		settings: s, clock: c, log: l,
 		store:       platform.NewStore(s.Store()),
 		incarnation: rand.Uint64(),
+		started:     make(chan struct{}),
 		changes:     make(chan struct{}, 1),
 		fetches:     make(chan string, 1),
 		roster:      newRoster(l),
--- a/node/reports.go
+++ b/node/reports.go
@@ -19,6 +19,10 @@
 	if h.incarnation != incarnation {
 		*h = heardReports{incarnation: incarnation}
 	}
+	told := make(map[uint64]int)
+	for _, w := range r.GetReports() {
+		told[w.GetTarget()]++
+	}
 	var fresh map[uint64][]targets.Report
 	for i, w := range r.GetReports() {
 		number := r.GetFirst() + uint64(i)
@@ -26,6 +30,9 @@
 			continue
 		}
 		h.next = number + 1
+		if w.GetTenths() == 0 && told[w.GetTarget()] < repeated {
+			continue // A single failure would turn all daemons to the other targets at once.
+		}
 		if fresh == nil {
 			fresh = make(map[uint64][]targets.Report)
 		}
@@ -34,6 +41,10 @@
 	return fresh
 }
 
+// repeated is how often a target must have failed at another daemon within the
+// second that reports cover to count here, unless it was silent.
+const repeated = 2
+
 // reportScale is the factor of latencies in reports, which have tenths.
 const reportScale = 10
 
--- a/query/engine.go
+++ b/query/engine.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -210,13 +209,6 @@
 	l.Msg("request")
 }
 
-// retryDelay spreads callers that come back over the time in which a target
-// that was lost is usually found again.
-func retryDelay() time.Duration {
-	const least, spread = 150 * time.Millisecond, 200 * time.Millisecond
-	return least + rand.N(spread)
-}
-
 func refuse(kind refusal.Kind, retry time.Duration, format string, args ...any) Answer {
 	return Answer{refusal: refusal.New(kind, format, args...), retryAfter: retry}
 }
--- a/query/gather.go
+++ b/query/gather.go
@@ -32,7 +32,7 @@
 	}
 	needed := r.route.MinShards()
 	if open < needed {
-		return refuse(refusal.NoSearcher, retryDelay(), "targets of %d of %d shards take requests, %d are needed", open, len(names), needed)
+		return refuse(refusal.NoSearcher, r.comeBack(now), "targets of %d of %d shards take requests, %d are needed", open, len(names), needed)
 	}
 	r.results = make(chan *targets.Call, len(names)*maxSends)
 	r.strain(parts, needed, now)
--- a/query/schedule.go
+++ b/query/schedule.go
@@ -25,6 +25,7 @@
 
 // schedule holds the times that govern one request.
 type schedule struct {
+	usual      time.Duration // The latency of one target.
 	hedgeAfter time.Duration // From sending to the second target.
 	objective  time.Time     // When an answer should leave to be in time.
 	late       time.Time     // When an answer that missed the objective leaves without its missing parts.
@@ -42,6 +43,7 @@
 	margin := wayMargin + time.Duration(workMargin*float64(r.Objective()))
 	objective := r.Objective() - margin - elapsed
 	return schedule{
+		usual:      median,
 		hedgeAfter: time.Duration(hedgeFactor*float64(median)) + hedgeFloor,
 		objective:  started.Add(objective),
 		late:       started.Add(max(objective, 0) + r.Objective()),
--- a/query/single.go
+++ b/query/single.go
@@ -16,7 +16,7 @@
 	r.results = make(chan *targets.Call, maxSends)
 	now := r.clock.Now()
 	if p.group == nil || !p.group.Prospect(r.end.Sub(now)) || !r.attempt(p, 0, now, false) {
-		return refuse(refusal.NoSearcher, retryDelay(), "no target of %s accepts the request", service)
+		return refuse(refusal.NoSearcher, r.comeBack(now), "no target of %s accepts the request", service)
 	}
 	var kept *targets.Call
 	callerLeft := false
@@ -93,7 +93,7 @@
 func (r *run) lost(p *part) Answer {
 	last := p.calls[len(p.calls)-1]
 	if p.mayRun == 0 {
-		return refuse(refusal.Overloaded, retryDelay(), "targets of %s refused the request: %s", p.service, last.Outcome())
+		return refuse(refusal.Overloaded, r.comeBack(r.clock.Now()), "targets of %s refused the request: %s", p.service, last.Outcome())
 	}
 	return refuse(refusal.SearcherFailed, 0, "connection to %s ended: %s", last.TargetID(), last.Reason())
 }
