node: connections are made ahead only by daemons that the registry names

Until the registry is known each daemon takes itself for a serving one; 75 daemons made connections ahead to 405 targets with a cap of 60, which reset 92,370 of them. Ruled out: retries of connections (they back off to 1 s). Change: connections are made ahead only once the registry is known and names this daemon; others are made when a request needs them.

--- a/node/apply.go
+++ b/node/apply.go
@@ -113,12 +113,14 @@
 
 func (d *Daemon) resizeGroups() {
 	position, n := d.serving.position()
-	serves := d.serving.includesSelf()
+	// Connections are made ahead only by daemons that the registry names as
+	// serving. Until it is known, all would, and targets take only so many.
+	ahead := d.mirror.Known(platform.KindDaemons) && position >= 0
 	budget := targets.NewBudgetLimits(d.settings.ExtraRatio(), d.settings.ExtraSlack(), n)
 	for name, g := range d.groups {
 		s := d.table.Service(name)
 		share := int(connectionShare * float64(s.MaxConnections()) / float64(n))
 		cold := targets.NewColdLimits(s.WarmUpRate(), d.settings.ColdOvershoot(), d.settings.ColdSlack(), n, position)
-		g.Resize(targets.NewSizing(share, cold, budget, d.used[name] && serves))
+		g.Resize(targets.NewSizing(share, cold, budget, d.used[name] && ahead))
 	}
 }
