--- a/node/apply.go
+++ b/node/apply.go
@@ -113,9 +113,7 @@
 
 func (d *Daemon) resizeGroups() {
 	position, n := d.serving.position()
-	// Connections are made ahead only by daemons that the registry names as
-	// serving. Until it is known, all would, and targets take only so many.
-	ahead := d.mirror.Known(platform.KindDaemons) && position >= 0
+	ahead := d.serving.connectsAhead()
 	budget := targets.NewBudgetLimits(d.settings.ExtraRatio(), d.settings.ExtraSlack(), n)
 	for name, g := range d.groups {
 		s := d.table.Service(name)
--- a/node/serving.go
+++ b/node/serving.go
@@ -87,6 +87,15 @@
 	return slices.IndexFunc(s.selected, func(c fleet.Candidate) bool { return c.Name() == s.name }), len(s.selected)
 }
 
+// connectsAhead reports whether this daemon makes connections to targets before
+// they are needed: only if the registry names it as one that serves. As long as
+// the registry is not known all daemons would, and targets take only so many.
+func (s *serving) connectsAhead() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.ContainsFunc(s.selected, func(c fleet.Candidate) bool { return c.Name() == s.name })
+}
+
 // registered returns all daemons that are registered.
 func (s *serving) registered() []fleet.Candidate {
 	s.mu.Lock()
