node, targets: a daemon that stands by offers itself as such; reports fit one packet

Cause: read as a newcomer: a standby that is able to serve offered itself as one that had fallen silent, so that callers of a region with only standbys were sent elsewhere; what each daemon had told was kept for ever; 100 reports make 1.3 kB of a heartbeat. Change: its standing is standby; daemons that are not known any more are forgotten; 60 reports.

--- a/node/addresses.go
+++ b/node/addresses.go
@@ -37,12 +37,14 @@
 		}
 	}
 	self := offer{front: d.settings.Callers(), region: d.settings.Region(), standing: silent}
-	switch able := d.able(); {
-	case !d.ready():
+	able := d.able()
+	switch {
 	case able && d.serving.includesSelf():
 		self.standing = serves
-		offers = append(offers, self)
-	case able || len(offers) == 0:
+	case able:
+		self.standing = standby
+	}
+	if d.ready() && (able || len(offers) == 0) {
 		offers = append(offers, self)
 	}
 	return offers
--- a/node/daemon.go
+++ b/node/daemon.go
@@ -88,17 +88,14 @@
 	roster *roster
 	groups map[string]*targets.Group
 	table  *route.Table
+	used   map[string]bool // Services that some route of the table uses.
 
-	installed time.Duration // Boot time at which the table came into force.
-
-	used map[string]bool // Services that some route of the table uses.
-
-	configRevision uint64 // The store's revision of the configuration that was read last.
+	configRevision uint64        // The store's revision of the configuration that was read last.
+	installed      time.Duration // Boot time at which the table came into force.
 
 	expiry clock.Timer
 	moves  map[string]*moveState // By service.
-
-	heardReports map[string]*heardReports // By peer address.
+	told   toldReports
 
 	wg       sync.WaitGroup
 	servers  []*http.Server
@@ -142,10 +139,8 @@
 		groups:      make(map[string]*targets.Group),
 		moves:       make(map[string]*moveState),
 		reports:     targets.NewReports(c),
-
-		heardReports: make(map[string]*heardReports),
-
-		failures: make(chan error, 1),
+		told:        make(toldReports),
+		failures:    make(chan error, 1),
 		peers: &http.Client{Transport: &http.Transport{
 			DialContext: (&net.Dialer{
 				Timeout:         fetchTimeout,
--- a/node/reports.go
+++ b/node/reports.go
@@ -13,6 +13,30 @@
 	next        uint64 // The number of the first report that is new.
 }
 
+// toldReports is what each other daemon has told, by its peer address.
+type toldReports map[string]*heardReports
+
+// by returns what the daemon at a peer address has told. With a new one, those
+// that are not known any more are forgotten.
+func (t toldReports) by(peer string, known func() []fleet.Member) *heardReports {
+	h := t[peer]
+	if h != nil {
+		return h
+	}
+	kept := make(map[string]bool)
+	for _, m := range known() {
+		kept[m.Peer()] = true
+	}
+	for p := range t {
+		if !kept[p] {
+			delete(t, p)
+		}
+	}
+	h = &heardReports{}
+	t[peer] = h
+	return h
+}
+
 // fresh returns the reports of a heartbeat that were not taken in before, by the
 // fingerprint of the target.
 func (h *heardReports) fresh(incarnation uint64, r *mirrorpb.TargetReports) map[uint64][]targets.Report {
@@ -67,12 +91,7 @@
 	if !d.serving.includesSelf() || m.Name() == d.settings.Name() {
 		return
 	}
-	h := d.heardReports[m.Peer()]
-	if h == nil {
-		h = &heardReports{}
-		d.heardReports[m.Peer()] = h
-	}
-	fresh := h.fresh(m.Incarnation(), m.Reports())
+	fresh := d.told.by(m.Peer(), d.fleet.Known).fresh(m.Incarnation(), m.Reports())
 	if len(fresh) == 0 {
 		return
 	}
--- a/targets/reports.go
+++ b/targets/reports.go
@@ -12,8 +12,9 @@
 	// reportTime is how long a failure is told to others; three heartbeats, so
 	// that one that is lost does not matter.
 	reportTime = time.Second
-	// maxReports bounds the failures that are told at once, at 12 bytes each.
-	maxReports = 100
+	// maxReports bounds the failures that are told at once, at 13 bytes each, so
+	// that a heartbeat fits one packet.
+	maxReports = 60
 	// outcomeHalfLife is the memory of the share of bad outcomes.
 	outcomeHalfLife = 500 * time.Millisecond
 	// faultyReporter is the share of bad outcomes from which the fault is rather
