--- a/reference/capacity.go
+++ b/reference/capacity.go
@@ -47,6 +47,7 @@
 	writeControl(&b, twoYears)
 	writeStore(&b, twoYears)
 	b.WriteString(capacityTail)
+	b.WriteString(capacityPlatform)
 	return b.String()
 }
 
