--- a/node/fixture_test.go
+++ b/node/fixture_test.go
@@ -1,8 +1,11 @@
 package node
 
 import (
+	"fmt"
+
 	"github.com/rs/zerolog"
 
+	"medlaryard.example/medlaryard/fleet"
 	"medlaryard.example/medlaryard/mirror"
 )
 
@@ -16,3 +19,17 @@
 	}
 	return os
 }
+
+// mixedRegistry returns 40 registered daemons in two failure domains, of which
+// the first four are strong.
+func mixedRegistry() []fleet.Candidate {
+	var registry []fleet.Candidate
+	for i := range 40 {
+		capacity := 0.2
+		if i < 4 {
+			capacity = 0.8
+		}
+		registry = append(registry, fleet.NewCandidate(fmt.Sprintf("d%02d", i), fmt.Sprintf("z%d", i%2), fmt.Sprintf("10.0.0.%d:7", i), capacity))
+	}
+	return registry
+}
--- a/node/serving_test.go
+++ b/node/serving_test.go
@@ -1,7 +1,6 @@
 package node
 
 import (
-	"fmt"
 	"testing"
 	"time"
 
@@ -14,14 +13,7 @@
 // Guards against a large fleet whose daemons all connect to every target when
 // they start before the registry can be read, far more than targets accept.
 func TestWhoConnectsAhead(t *testing.T) {
-	var registry []fleet.Candidate
-	for i := range 40 {
-		capacity := 0.2
-		if i < 4 {
-			capacity = 0.8
-		}
-		registry = append(registry, fleet.NewCandidate(fmt.Sprintf("d%02d", i), "z", fmt.Sprintf("10.0.0.%d:7", i), capacity))
-	}
+	registry := mixedRegistry()
 	for _, c := range []struct {
 		name     string
 		registry []fleet.Candidate
--- a/node/watching_test.go
+++ b/node/watching_test.go
@@ -1,7 +1,6 @@
 package node
 
 import (
-	"fmt"
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
@@ -12,14 +11,7 @@
 // Guards against daemons that all read the whole store when the system starts
 // again, and against those that serve callers waiting for others to start.
 func TestWhoReadsTheStoreAtTheStart(t *testing.T) {
-	var registered []fleet.Candidate
-	for i := range 40 {
-		capacity := 0.2
-		if i < 4 {
-			capacity = 0.8
-		}
-		registered = append(registered, fleet.NewCandidate(fmt.Sprintf("d%02d", i), fmt.Sprintf("z%d", i%2), fmt.Sprintf("10.0.0.%d:7", i), capacity))
-	}
+	registered := mixedRegistry()
 	var reads []string
 	for _, c := range registered {
 		if selects(registered, c) {
