platform, standin, node: stand-ins write the platform's objects through platformtest

Cause: the soak and the tests of the daemon spelled out the store's objects, so the platform's names stood outside platform/, twice. Change: platform/platformtest makes configurations and targets' entries.

--- a/node/cluster_test.go
+++ b/node/cluster_test.go
@@ -16,6 +16,7 @@
 
 	"medlaryard.example/medlaryard/clock"
 	"medlaryard.example/medlaryard/platform"
+	"medlaryard.example/medlaryard/platform/platformtest"
 	"medlaryard.example/medlaryard/standin/metastore"
 	"medlaryard.example/medlaryard/standin/shards"
 )
@@ -29,7 +30,7 @@
 	targets []*shards.Target
 	version int
 	shards  []string
-	entries map[string]map[string]any // Entries of targets by id.
+	entries map[string]*platformtest.Target // Entries of targets by id.
 }
 
 type running struct {
@@ -49,7 +50,7 @@
 
 func newCluster(t *testing.T, daemons, shardCount int) *cluster {
 	t.Helper()
-	c := &cluster{t: t, store: metastore.New(3), version: 1, entries: make(map[string]map[string]any)}
+	c := &cluster{t: t, store: metastore.New(3), version: 1, entries: make(map[string]*platformtest.Target)}
 	c.server = httptest.NewServer(c.store.Handler())
 	t.Cleanup(c.server.Close)
 	for i := range shardCount {
@@ -91,42 +92,27 @@
 		t.Become(shards.NewBehaviour(0, shards.Down()))
 		<-done
 	})
-	c.entries[id] = map[string]any{
-		"service": service, "address": l.Addr().String(), "zone": "a", "version": "v1",
-		"max_concurrency": 4, "state": "ready", "warmup_left_ms": 0, "sequence": 1, "born": 1,
-	}
-	c.store.Put("servers", id, c.entries[id])
+	c.entries[id] = platformtest.NewTarget(service, l.Addr().String(), "a", 4)
+	c.store.Put(platform.KindTargets, id, c.entries[id].Object())
 }
 
 // setVersion changes the version in a target's entry.
 func (c *cluster) setVersion(id, version string) {
-	c.entries[id]["version"] = version
-	c.store.Put("servers", id, c.entries[id])
+	c.entries[id].SetVersion(version)
+	c.store.Put(platform.KindTargets, id, c.entries[id].Object())
 }
 
 // configure writes a configuration whose sharded route has that prefix.
 func (c *cluster) configure(prefix string) {
 	c.version++
-	services := []map[string]any{{"name": "cards", "max_connections": 50, "health_path": "/healthz"}}
-	for _, s := range c.shards {
-		services = append(services, map[string]any{"name": s, "max_connections": 50, "health_path": "/healthz"})
-	}
-	c.store.Put("config", "main", map[string]any{
-		"version": c.version,
-		"routes": []map[string]any{
-			{
-				"name": "match", "host": "songs.example", "path_prefix": prefix, "route_class": "idempotent",
-				"timeout_ms": 5000, "target_latency_ms": 2000, "priority": 1, "gather": c.shards,
-				"max_attempts": 2, "top_k": 10, "min_coverage": 0.9,
-			},
-			{
-				"name": "card", "host": "songs.example", "path_prefix": "/card/", "route_class": "non_idempotent",
-				"timeout_ms": 5000, "target_latency_ms": 2000, "priority": 2, "service": "cards", "max_attempts": 1,
-			},
-		},
-		"services": services,
-		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 1000, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
-	})
+	cfg := platformtest.NewConfig(c.version, 1000)
+	for _, name := range append([]string{"cards"}, c.shards...) {
+		cfg.Service(name, 50)
+	}
+	cfg.Route("match", "songs.example", prefix, 5*time.Second, 2*time.Second, platformtest.Shards(c.shards, 10, 0.9))
+	cfg.Route("card", "songs.example", "/card/", 5*time.Second, 2*time.Second,
+		platformtest.Single("cards"), platformtest.Once(), platformtest.MaxTargets(1))
+	c.store.Put(platform.KindConfig, "main", cfg.Object())
 }
 
 func (c *cluster) settings(ip string) Settings {
--- a/standin/soak/faults.go
+++ b/standin/soak/faults.go
@@ -5,6 +5,8 @@
 	"syscall"
 	"time"
 
+	"medlaryard.example/medlaryard/platform"
+	"medlaryard.example/medlaryard/platform/platformtest"
 	"medlaryard.example/medlaryard/standin/metastore"
 	"medlaryard.example/medlaryard/standin/shards"
 )
@@ -94,30 +96,27 @@
 	s.version++
 	version := s.version
 	s.mu.Unlock()
-	services := []map[string]any{{"name": "plays", "max_connections": 60, "health_path": "/healthz"}}
+	cfg := platformtest.NewConfig(version, maxBody)
+	cfg.Service("plays", targetConnections)
 	var names []string
 	for i := range shardCount {
 		name := fmt.Sprintf("shard%d", i)
 		names = append(names, name)
-		services = append(services, map[string]any{"name": name, "max_connections": 60, "health_path": "/healthz"})
+		cfg.Service(name, targetConnections)
 	}
-	gather := func(name, prefix string) map[string]any {
-		return map[string]any{
-			"name": name, "host": host, "path_prefix": prefix, "route_class": "idempotent", "timeout_ms": 2000,
-			"target_latency_ms": 300, "priority": 1, "gather": names, "max_attempts": 2, "top_k": topRecords,
-			"min_coverage": float64(minShards) / shardCount,
-		}
-	}
-	s.store.Put("config", "main", map[string]any{
-		"version": version,
-		"routes": []map[string]any{
-			gather("match", "/match/"), gather("extra", fmt.Sprintf("/extra%d/", version)),
-			{
-				"name": "play", "host": host, "path_prefix": "/play/", "route_class": "non_idempotent",
-				"timeout_ms": 2000, "target_latency_ms": 300, "priority": 2, "service": "plays", "max_attempts": 2,
-			},
-		},
-		"services": services,
-		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 65536, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
-	})
+	sharded := platformtest.Shards(names, topRecords, float64(minShards)/shardCount)
+	cfg.Route("match", host, "/match/", routeTimeout, routeObjective, sharded)
+	cfg.Route("extra", host, fmt.Sprintf("/extra%d/", version), routeTimeout, routeObjective, sharded)
+	cfg.Route("play", host, "/play/", routeTimeout, routeObjective, platformtest.Single("plays"), platformtest.Once())
+	s.store.Put(platform.KindConfig, "main", cfg.Object())
 }
+
+const (
+	// targetConnections is how many connections a target accepts.
+	targetConnections = 60
+	// maxBody is the size in bytes that callers' bodies may have.
+	maxBody = 64 << 10
+	// routeTimeout and routeObjective are those of all routes.
+	routeTimeout   = 2 * time.Second
+	routeObjective = 300 * time.Millisecond
+)
--- a/standin/soak/soak.go
+++ b/standin/soak/soak.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"medlaryard.example/medlaryard/platform"
+	"medlaryard.example/medlaryard/platform/platformtest"
 	"medlaryard.example/medlaryard/standin/metastore"
 	"medlaryard.example/medlaryard/standin/shards"
 )
@@ -159,10 +160,8 @@
 		return err
 	}
 	s.targets = append(s.targets, &remote{Target: t, proxy: p, l: l})
-	s.store.Put("servers", id, map[string]any{
-		"service": service, "address": p.address(), "zone": []string{"a", "b"}[n%2], "version": "v1",
-		"max_concurrency": 4, "state": "ready", "warmup_left_ms": 0, "sequence": 1, "born": 1,
-	})
+	zone := []string{"a", "b"}[n%2]
+	s.store.Put(platform.KindTargets, id, platformtest.NewTarget(service, p.address(), zone, 4).Object())
 	return nil
 }
 
