--- a/reference/capacityplatform.go
+++ b/reference/capacityplatform.go
@@ -6,20 +6,20 @@
 const capacityPlatform = `
 ## The daemon on the platform
 
-Everything above is about the relay of the product's own interface. This section is about "medlaryard node" ([platform.md](platform.md)), which sends to targets directly: 18 daemons at most serve callers, the others stand by. The users' bench played one day at three sizes and carries the growth of the busiest daemon on to 3,492 (a power of the number of daemons, from its last three sizes; not played). All rules were kept, and the day with 300 daemons is worth 1.04 times that with 30 (0.602 and 0.579).
+Everything above is about the relay of the product's own interface. This section is about "medlaryard node" ([platform.md](platform.md)), which sends to targets directly: 18 daemons at most serve callers, the others stand by. The users' bench played one day at three sizes and carries the growth of the busiest daemon on to 3,492 (a power of the number of daemons, from its last three sizes; not played). All rules were kept, and the day with 300 daemons is worth 1.04 times that with 30 (0.604 and 0.583).
 
 | Busiest daemon | 30 | 100 | 300 | Power | At 3,492 | Limit for control |
 |---|---|---|---|---|---|---|
-| Processor, % of a core, all work | 10.8 | 4.1 | 10.1 | 0 | 10.1 | 1.9 |
-| Memory, MB | 17.8 | 20.0 | 53.0 | 0.47 | 168 | 64 |
-| Traffic, kB/s, all work | 262 | 439 | 1,228 | 0.67 | 6,303 | 12 |
-| Wake-ups a second | 267 | 293 | 274 | 0.01 | 283 | |
-| Connections | 448 | 525 | 1,787 | 0.59 | 7,667 | |
-| Configuration in force, ms | 0 | 266 | 396 | 0.91 | 3,664 | 4,000 |
-| Target that leaves gets nothing more, ms | 13 | 1,953 | 1,607 | | | |
-| Serving after all were killed, ms | 500 | 500 | 2,500 | | | |
+| Processor, % of a core, all work | 10.5 | 4.2 | 10.3 | 0 | 10.3 | 1.9 |
+| Memory, MB | 17.6 | 20.9 | 53.1 | 0.47 | 170 | 64 |
+| Traffic, kB/s, all work | 263 | 446 | 1,222 | 0.66 | 6,227 | 12 |
+| Wake-ups a second | 275 | 306 | 276 | 0 | 277 | |
+| Connections | 451 | 518 | 1,780 | 0.59 | 7,548 | |
+| Configuration in force, ms | 0 | 265 | 418 | 0.93 | 4,093 | 4,000 |
+| Target that leaves gets nothing more, ms | 15 | 2,296 | 1,434 | | | |
+| Serving after all were killed, ms | 500 | 500 | 2,000 | | | |
 
-The middle daemon of 300, which stands by, takes 6.2% of a core, 11.5 MB and 10.5 kB/s.
+The middle daemon of 300, which stands by, takes 6.3% of a core, 11.4 MB and 10.5 kB/s.
 
 | Role | State | Messages | Carried by |
 |---|---|---|---|
@@ -31,5 +31,5 @@
 
 - **18 serving daemons** cannot carry 2.4 million queries a second. Their number is bounded because targets accept about 60 connections and each serving daemon needs three. Daemons have to be divided into cells that share the targets of a region, so that each target sees the daemons of its cell only.
 - **Heartbeats** from each serving daemon to all others grow with the fleet: 5,800 datagrams a second at 3,500 daemons. They have to stay within a cell.
-- **The copy of the store** is whole on every daemon: 65,000 entries of 250 bytes are 16 MB, read in 130 pages or more after a loss of power. It has to be divided by cell too; serving 2.5 s after all were killed at 300 daemons shows that it is the first limit to be met.
+- **The copy of the store** is whole on every daemon: 65,000 entries of 250 bytes are 16 MB, read in 130 pages or more after a loss of power. It has to be divided by cell too; serving 2 s after all were killed at 300 daemons shows that it is the first limit to be met.
 `
