--- a/node/addresses.go
+++ b/node/addresses.go
@@ -1,5 +1,7 @@
 package node
 
+import "medlaryard.example/medlaryard/fleet"
+
 // ready reports whether callers should come to this daemon.
 func (d *Daemon) ready() bool { return !d.leaving.Load() && d.engine.Table() != nil }
 
@@ -16,25 +18,14 @@
 // them if it can serve, or if no other is known that could.
 func (d *Daemon) offers() []offer {
 	serving := d.serving.names()
-	alive := make(map[string]bool)
-	var offers []offer
-	for _, m := range d.fleet.Alive() {
-		alive[m.Name()] = true
-		if !m.Serving() || m.Leaving() {
-			continue
-		}
-		o := offer{front: m.Front(), region: d.settings.RegionOf(m.Zone()), standing: standby}
+	offers := d.offersOf(d.fleet.Alive(), func(m fleet.Member) standing {
 		if serving[m.Name()] {
-			o.standing = serves
+			return serves
 		}
-		offers = append(offers, o)
-	}
+		return standby
+	})
 	if len(offers) == 0 {
-		for _, m := range d.fleet.Known() {
-			if m.Serving() && !m.Leaving() && !alive[m.Name()] {
-				offers = append(offers, offer{front: m.Front(), region: d.settings.RegionOf(m.Zone()), standing: silent})
-			}
-		}
+		offers = d.offersOf(d.fleet.Known(), func(fleet.Member) standing { return silent })
 	}
 	self := offer{front: d.settings.Callers(), region: d.settings.Region(), standing: silent}
 	able := d.able()
@@ -50,6 +41,17 @@
 	return offers
 }
 
+// offersOf returns those of the daemons that can serve.
+func (d *Daemon) offersOf(members []fleet.Member, rank func(fleet.Member) standing) []offer {
+	var offers []offer
+	for _, m := range members {
+		if m.Serving() && !m.Leaving() {
+			offers = append(offers, offer{front: m.Front(), region: d.settings.RegionOf(m.Zone()), standing: rank(m)})
+		}
+	}
+	return offers
+}
+
 // ableShare is the part of the services in use of which a daemon must reach some
 // target to be named to callers.
 const ableShare = 0.6
@@ -61,12 +63,18 @@
 	if d.table == nil {
 		return false
 	}
-	reachable, all := 0, 0
+	reachable, all := d.reach()
+	return float64(reachable) >= ableShare*float64(all)
+}
+
+// reach returns how many of the services in use have a target that accepts
+// connections, and how many there are. The caller holds the daemon's lock.
+func (d *Daemon) reach() (reachable, all int) {
 	for name := range d.used {
 		all++
 		if g := d.groups[name]; g != nil && g.Reachable() {
 			reachable++
 		}
 	}
-	return float64(reachable) >= ableShare*float64(all)
+	return reachable, all
 }
--- a/node/gauges.go
+++ b/node/gauges.go
@@ -21,21 +21,16 @@
 		meter.Gauge("configuration.version", int64(d.table.Version()))
 		meter.Gauge("configuration.age_ms", (d.clock.Boot() - d.installed).Milliseconds())
 	}
-	known, unreachable := 0, 0
+	reachable, all := d.reach()
+	meter.Gauge("services.used", int64(all))
+	meter.Gauge("services.unreachable", int64(all-reachable))
 	budget := math.Inf(1)
 	for name, g := range d.groups {
-		if !d.used[name] {
-			continue
+		if d.used[name] {
+			budget = math.Min(budget, g.Budget())
 		}
-		known++
-		if !g.Reachable() {
-			unreachable++
-		}
-		budget = math.Min(budget, g.Budget())
 	}
-	meter.Gauge("services.used", int64(known))
-	meter.Gauge("services.unreachable", int64(unreachable))
-	if known > 0 {
+	if !math.IsInf(budget, 1) {
 		meter.Gauge("budget.least", int64(budget))
 	}
 }
--- a/node/serving.go
+++ b/node/serving.go
@@ -71,8 +71,7 @@
 func (s *serving) includesSelf() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	self := func(c fleet.Candidate) bool { return c.Name() == s.name }
-	return !slices.ContainsFunc(s.candidates, self) || slices.ContainsFunc(s.selected, self)
+	return indexOf(s.candidates, s.name) < 0 || indexOf(s.selected, s.name) >= 0
 }
 
 // position returns this daemon's place among the daemons that share the limits
@@ -84,7 +83,7 @@
 	if len(s.selected) == 0 {
 		return 0, 1
 	}
-	return slices.IndexFunc(s.selected, func(c fleet.Candidate) bool { return c.Name() == s.name }), len(s.selected)
+	return indexOf(s.selected, s.name), len(s.selected)
 }
 
 // connectsAhead reports whether this daemon makes connections to targets before
@@ -93,7 +92,12 @@
 func (s *serving) connectsAhead() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return slices.ContainsFunc(s.selected, func(c fleet.Candidate) bool { return c.Name() == s.name })
+	return indexOf(s.selected, s.name) >= 0
+}
+
+// indexOf returns the place of the daemon of that name, or -1.
+func indexOf(cs []fleet.Candidate, name string) int {
+	return slices.IndexFunc(cs, func(c fleet.Candidate) bool { return c.Name() == name })
 }
 
 // registered returns all daemons that are registered.
--- a/node/watching.go
+++ b/node/watching.go
@@ -53,9 +53,13 @@
 // selects reports whether a daemon, which may not be registered yet, is among
 // those that serve when none is lost.
 func selects(registered []fleet.Candidate, self fleet.Candidate) bool {
-	others := slices.DeleteFunc(slices.Clone(registered), func(c fleet.Candidate) bool { return c.Name() == self.Name() })
-	serving := fleet.Select(append(others, self), func(string) bool { return false })
-	return slices.ContainsFunc(serving, func(c fleet.Candidate) bool { return c.Name() == self.Name() })
+	all := slices.Clone(registered)
+	if i := indexOf(all, self.Name()); i >= 0 {
+		all[i] = self // Its entry may be that of an earlier VM.
+	} else {
+		all = append(all, self)
+	}
+	return indexOf(fleet.Select(all, func(string) bool { return false }), self.Name()) >= 0
 }
 
 // watches reports whether this daemon is to watch the store. The first by name
--- a/query/gather.go
+++ b/query/gather.go
@@ -26,7 +26,11 @@
 	open := 0
 	for i, name := range names {
 		parts[i] = &part{service: name, group: r.group(name)}
-		if parts[i].group != nil && parts[i].group.Prospect(soon) {
+		if parts[i].group == nil {
+			continue
+		}
+		parts[i].outlook = parts[i].group.Outlook(r.habit.pace, soon)
+		if parts[i].outlook.Soon() {
 			open++
 		}
 	}
@@ -187,13 +191,15 @@
 
 // merge makes the answer from the parts that are in.
 func (r *run) merge(parts []*part) Answer {
-	countDeferred(parts)
 	m := &Merged{}
 	bodies := make([][]byte, 0, len(parts))
 	for _, p := range parts {
 		if p.answer == nil {
 			m.missing++
 			r.missing = append(r.missing, p.service)
+			if p.deferred {
+				meter.Count("query.deferred", 1)
+			}
 			continue
 		}
 		resp := p.answer.Response()
--- a/query/run.go
+++ b/query/run.go
@@ -35,8 +35,9 @@
 	tried   time.Time
 	counted bool // The group has earned budget by the request.
 
-	expected time.Duration // When an answer was to be expected at the arrival of the request.
-	deferred bool          // It is sent only if other parts do not suffice.
+	outlook  targets.Outlook // At the arrival of the request.
+	expected time.Duration   // When an answer was to be expected at the arrival of the request.
+	deferred bool            // It is sent only if other parts do not suffice.
 
 	answer  *targets.Call // The success.
 	failure *targets.Call // The last complete answer that reports a failure.
--- a/query/strain.go
+++ b/query/strain.go
@@ -2,8 +2,6 @@
 
 import (
 	"time"
-
-	"medlaryard.example/medlaryard/meter"
 )
 
 // strainedPatience is how many expected times a part may take that was asked of a
@@ -22,10 +20,7 @@
 	}
 	strained := 0
 	for _, p := range parts {
-		if p.group == nil {
-			continue
-		}
-		if o := p.group.Outlook(r.habit.pace); o.Open() && o.Expected() > limit {
+		if o := p.outlook; o.Open() && o.Expected() > limit {
 			p.expected, p.deferred = o.Expected(), !o.Idle()
 			strained++
 		}
@@ -78,16 +73,3 @@
 	}
 	return best
 }
-
-// countDeferred counts the shards that were left out of an answer.
-func countDeferred(parts []*part) {
-	n := 0
-	for _, p := range parts {
-		if p.deferred {
-			n++
-		}
-	}
-	if n > 0 {
-		meter.Count("query.deferred", int64(n))
-	}
-}
--- a/targets/cold.go
+++ b/targets/cold.go
@@ -37,9 +37,6 @@
 // holds reports whether this daemon is one of those that use the cold target of
 // that identity. Targets differ in their holders, so that each daemon has some.
 func (l ColdLimits) holds(id string) bool {
-	if l.rate <= 0 {
-		return true
-	}
 	if l.position < 0 {
 		return false
 	}
@@ -61,9 +58,6 @@
 // wait returns how long it takes until a request may be sent, 0 if one may be
 // sent now.
 func (c *coldLimit) wait(now time.Time, l ColdLimits) time.Duration {
-	if l.rate <= 0 {
-		return 0
-	}
 	if c.filled.IsZero() {
 		c.filled = now
 	}
@@ -77,15 +71,15 @@
 
 // take accounts for a request that is sent.
 func (c *coldLimit) take(now time.Time, l ColdLimits) {
-	if l.rate > 0 && c.wait(now, l) == 0 {
+	if c.wait(now, l) == 0 {
 		c.tokens--
 	}
 }
 
-// coldFor reports whether t is cold and how long a request has to wait for it;
-// ok is false if this daemon has no part in it.
-func (g *Group) coldFor(t *Target, now time.Time) (wait time.Duration, cold, ok bool) {
-	if !now.Before(t.coldTill) {
+// coldFor reports whether a limit holds for t because it is cold, and how long a
+// request has to wait for it; ok is false if this daemon has no part in t.
+func (g *Group) coldFor(t *Target, now time.Time) (wait time.Duration, limited, ok bool) {
+	if g.cold.rate <= 0 || !now.Before(t.coldTill) {
 		return 0, false, true
 	}
 	if !g.cold.holds(t.id) {
@@ -94,31 +88,6 @@
 	return t.cold.wait(now, g.cold), true, true
 }
 
-// Prospect reports whether a request that came now would be sent within that
-// time, as far as the limits of cold targets tell. A group without any target
-// that accepts connections has none.
-func (g *Group) Prospect(within time.Duration) bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	now := g.clock.Now()
-	ahead := float64(len(g.waiting))
-	capacity := 0.0 // Requests that cold targets can take within the time.
-	for _, t := range g.targets {
-		if t.gone || t.entry.draining || !t.accepts() {
-			continue
-		}
-		wait, cold, ok := g.coldFor(t, now)
-		switch {
-		case !ok:
-		case !cold || g.cold.rate <= 0:
-			return true
-		case wait <= within:
-			capacity += 1 + (within-wait).Seconds()*g.cold.share()
-		}
-	}
-	return capacity >= ahead+1
-}
-
 // wake dispatches again after d, when a cold target may take another request.
 func (g *Group) wake(d time.Duration) {
 	if g.waking || g.closed {
--- a/targets/cold_test.go
+++ b/targets/cold_test.go
@@ -49,7 +49,7 @@
 				for i := range 600 { // 12 s with a request at each daemon every 20 ms.
 					for d, g := range groups {
 						req := targets.NewRequest(fmt.Sprintf("q%d-%d", i, d), "GET", "/", "h", nil, nil, true, clock.System{}.Boot()+time.Hour)
-						if g.Prospect(0) {
+						if g.Outlook(pace, 0).Soon() {
 							g.Submit(targets.NewCall(req, pace, results))
 						}
 					}
--- a/targets/dispatch.go
+++ b/targets/dispatch.go
@@ -24,13 +24,13 @@
 
 // eligible reports whether t may get c at all.
 func (g *Group) eligible(t *Target, c *Call) bool {
-	return !t.gone && !t.entry.draining && !c.avoids(t) && (c.allow == nil || c.allow(t.entry)) &&
+	return t.open() && !c.avoids(t) && (c.allow == nil || c.allow(t.entry)) &&
 		(g.move == nil || g.move.permits(t.entry.version, c.newer))
 }
 
 func (g *Group) hasTarget(c *Call, now time.Time) bool {
 	for _, t := range g.targets {
-		if _, _, ok := g.coldFor(t, now); ok && g.eligible(t, c) && t.accepts() {
+		if _, _, ok := g.coldFor(t, now); ok && g.eligible(t, c) {
 			return true
 		}
 	}
@@ -40,6 +40,9 @@
 // dispatch places waiting calls, in their order, on targets with a connection
 // and makes connections for the others. A call without any target left ends.
 func (g *Group) dispatch(now time.Time) []transmission {
+	if len(g.waiting) == 0 {
+		return nil
+	}
 	var sends []transmission
 	left := g.waiting[:0]
 	boot := g.clock.Boot()
@@ -51,7 +54,7 @@
 		t, conn := g.choose(c, now)
 		switch {
 		case conn != nil:
-			sends = append(sends, g.assign(c, t, conn, now))
+			sends = append(sends, g.assign(c, t, conn, now, c.req.deadline-boot))
 		case t != nil:
 			left = append(left, c)
 		default:
@@ -77,7 +80,7 @@
 	for i := range g.targets {
 		t := g.targets[(g.turn+i)%len(g.targets)]
 		wait, _, ok := g.coldFor(t, now)
-		if !ok || !g.eligible(t, c) || !t.accepts() {
+		if !ok || !g.eligible(t, c) {
 			continue
 		}
 		waitFor = t
@@ -109,7 +112,7 @@
 		}
 		g.connect(best)
 	}
-	if bestConn != nil && now.Before(best.coldTill) {
+	if _, limited, _ := g.coldFor(best, now); limited && bestConn != nil {
 		best.cold.take(now, g.cold)
 	}
 	return best, bestConn
@@ -135,13 +138,13 @@
 	return c.target.id, c.sent, true
 }
 
-func (g *Group) assign(c *Call, t *Target, conn *conn, now time.Time) transmission {
+// assign gives a call to a target, which may work on it for the time that is left.
+func (g *Group) assign(c *Call, t *Target, conn *conn, now time.Time, left time.Duration) transmission {
 	c.state, c.target, c.conn, c.sent = callSent, t, conn, now
 	conn.call = c
 	conn.used = true
 	t.calls = append(t.calls, c)
-	left := max(c.req.deadline-g.clock.Boot(), time.Millisecond)
-	b := g.protocol.Append(nil, c.req, t.entry.id, left)
+	b := g.protocol.Append(nil, c.req, t.entry.id, max(left, time.Millisecond))
 	large := len(c.req.body) >= largeBody
 	conn.writing = large
 	return transmission{conn: conn, bytes: b, large: large}
--- a/targets/target.go
+++ b/targets/target.go
@@ -71,9 +71,12 @@
 	cold     coldLimit
 }
 
-// accepts reports whether requests may be sent to the target at all.
+// accepts reports whether the target can be reached.
 func (t *Target) accepts() bool { return !t.down && !t.moved }
 
+// open reports whether new requests may be sent to the target.
+func (t *Target) open() bool { return !t.gone && !t.entry.draining && t.accepts() }
+
 // decayed returns the running means as of now.
 func (t *Target) decayed(now time.Time) (slowness, failures float64) {
 	if t.observed.IsZero() {
