searcher: match refusals to their calls

What callers saw: on the product's own interface (serve), a request that may run once could be reported as not run and run all the same (REFUSED).

Cause: a reply other than 200 was not matched to its call. A late second copy of a refusal that arrives after the next call was sent on its connection was taken for the reply to that call. The check for unread bytes before a connection is used again sees only copies that arrive earlier.

Change: replies other than 200 name their call in X-Request-Id. One that names another call proves nothing; one that names none is believed only as the first reply on its connection, which is then closed. A connection on which a call was refused does not carry the same call again.

--- a/searcher/exchange.go
+++ b/searcher/exchange.go
@@ -26,7 +26,7 @@
 // run returns only after a cancellation was sent to the searcher, so that the
 // searcher's slot is not counted as free too early.
 func (x *exchange) run() (Reply, *Failure) {
-	c, err := x.h.pool.get(x.ctx, false)
+	c, err := x.h.pool.get(x.ctx, false, x.call.ID())
 	if err != nil {
 		return Reply{}, connectFailure(x.ctx, err)
 	}
@@ -75,7 +75,8 @@
 		return Reply{}, badReply("unexpected data after the reply"), false
 	}
 	reply, failure = x.classify(resp)
-	return reply, failure, !resp.ConnectionClose() && (failure == nil || failure.Fault() != FaultReply)
+	named := resp.StatusCode() == fasthttp.StatusOK || len(resp.Header.Peek("X-Request-Id")) > 0
+	return reply, failure, named && !resp.ConnectionClose() && (failure == nil || failure.Fault() != FaultReply)
 }
 
 func (x *exchange) buildRequest(req *fasthttp.Request) {
@@ -100,11 +101,17 @@
 	req.SetBodyRaw(x.call.Body())
 }
 
+// classify returns what the reply states. A successful reply names its call in
+// the body, all others in the header.
 func (x *exchange) classify(resp *fasthttp.Response) (Reply, *Failure) {
 	status := resp.StatusCode()
-	switch {
-	case status == fasthttp.StatusOK:
+	if status == fasthttp.StatusOK {
 		return decodeReply(x.call, resp.Body())
+	}
+	if f := x.checkID(string(resp.Header.Peek("X-Request-Id"))); f != nil {
+		return Reply{}, f
+	}
+	switch {
 	case status == fasthttp.StatusConflict:
 		e := refusal.New(refusal.SnapshotGone, "searcher does not hold snapshot %d", x.call.Snapshot())
 		return Reply{}, NewFailure(FaultSnapshot, e)
@@ -114,6 +121,21 @@
 	return Reply{}, NewFailure(FaultStatus, refusal.New(refusal.SearcherFailed, "searcher returned HTTP status %d", status))
 }
 
+// checkID checks the ID in the header of a reply without a result. Only the first
+// reply on a connection may name no call; any other may be the late second copy
+// of an earlier one, and a call that it answers may run.
+func (x *exchange) checkID(id string) *Failure {
+	switch {
+	case id == x.call.ID():
+		x.conn.refused = append(x.conn.refused, id)
+	case id != "":
+		return badReply("reply has request id %.64q, want %q", id, x.call.ID())
+	case x.conn.used:
+		return badReply("reply names no request")
+	}
+	return nil
+}
+
 // refusalFailure returns the failure for a refusal by the searcher, which proves
 // that the request did not run.
 func refusalFailure(reason string) *Failure {
--- a/standin/searchers/handler.go
+++ b/standin/searchers/handler.go
@@ -72,6 +72,7 @@
 	f := s.faults
 	s.mu.Unlock()
 	if o != outcomeOK {
+		w.Header().Set("X-Request-Id", c.id)
 		if o.reason != "" {
 			w.Header().Set("X-Ran", "no")
 			w.Header().Set("X-Reason", o.reason)
