targets: never send a request twice on one connection

Cause: a request that all targets of a service refuse goes to the first of them again, on the connection on which it was refused there and under the same ID. A late second copy of the first refusal names that ID, so it was taken for the answer to the second send.

Evidence: the decisions that are logged for a request now name the connection of each call.

Change: a call is not sent on a connection that an earlier call of the same request used; the group opens another one. The emulated targets name the request in refusals, as the platform's do, and can repeat any answer late; the soak plays that.

--- a/query/decisions.go
+++ b/query/decisions.go
@@ -10,11 +10,12 @@
 
 // decision is one decision about a request, for the log.
 type decision struct {
-	at     time.Duration // Since the request arrived.
-	name   string
-	shard  string
-	target string
-	cause  string
+	at         time.Duration // Since the request arrived.
+	name       string
+	shard      string
+	target     string
+	cause      string
+	connection int // Number of the connection to the target; 0 if it is not known.
 }
 
 // maxDecisions bounds the decisions recorded for one request.
@@ -23,8 +24,13 @@
 // recordDecision stores a decision, to be logged if the outcome of the request
 // is logged.
 func (r *run) recordDecision(name, shard, target, cause string) {
+	r.addDecision(decision{name: name, shard: shard, target: target, cause: cause})
+}
+
+func (r *run) addDecision(d decision) {
 	if len(r.decisions) < maxDecisions {
-		r.decisions = append(r.decisions, decision{r.clock.Now().Sub(r.started), name, shard, target, cause})
+		d.at = r.clock.Now().Sub(r.started)
+		r.decisions = append(r.decisions, d)
 	}
 }
 
@@ -32,7 +38,7 @@
 // was answered.
 func (r *run) recordFailure(p *part, c *targets.Call) {
 	if c.Outcome() != targets.Answered {
-		r.recordDecision(string(c.Outcome()), p.service, c.TargetID(), c.Reason())
+		r.addDecision(decision{name: string(c.Outcome()), shard: p.service, target: c.TargetID(), cause: c.Reason(), connection: c.Connection()})
 	}
 }
 
@@ -62,6 +68,6 @@
 func (r *run) logDecisions(l *zerolog.Logger) {
 	for _, d := range r.decisions {
 		l.Info().Str("request", r.request.ID()).Dur("at", d.at).Str("decision", d.name).
-			Str("shard", d.shard).Str("target", d.target).Str("cause", d.cause).Msg("decision")
+			Str("shard", d.shard).Str("target", d.target).Str("cause", d.cause).Int("connection", d.connection).Msg("decision")
 	}
 }
--- a/standin/shards/behaviour.go
+++ b/standin/shards/behaviour.go
@@ -17,6 +17,7 @@
 	refusedShare         float64
 	droppedReplyShare    float64
 	duplicatedReplyShare float64
+	lateCopyShare        float64
 	blackhole            bool
 	down                 bool
 	silent               bool
@@ -80,6 +81,10 @@
 // Duplicating sends the given share of the successful replies twice.
 func Duplicating(share float64) Option { return func(b *Behaviour) { b.duplicatedReplyShare = share } }
 
+// LateCopies sends the given share of all answers, also of refusals, a second time
+// when the next request arrives on their connection.
+func LateCopies(share float64) Option { return func(b *Behaviour) { b.lateCopyShare = share } }
+
 // Blackhole makes the target neither reply nor complete new in-memory
 // connections. It closes no connection.
 func Blackhole() Option { return func(b *Behaviour) { b.blackhole = true } }
--- a/standin/shards/target.go
+++ b/standin/shards/target.go
@@ -183,23 +183,50 @@
 		_ = conn.Close()
 	}()
 	r := bufio.NewReader(conn)
+	w := &answerWriter{Conn: conn, target: t}
 	for {
 		var req fasthttp.Request
 		if err := req.Read(r); err != nil {
 			return
 		}
-		if !t.handle(conn, &req) {
+		if !w.writeLateCopy() || !t.handle(w, &req) {
 			return
 		}
 	}
 }
 
+// answerWriter writes the answers of one connection and keeps the copies that
+// are sent late.
+type answerWriter struct {
+	net.Conn
+	target *Target
+	copy   string // Second copy of the previous answer, or "".
+}
+
+// writeLateCopy writes the second copy of the previous answer, if one is due. It
+// reports whether the connection is still open.
+func (w *answerWriter) writeLateCopy() bool {
+	late := w.copy
+	w.copy = ""
+	return late == "" || writeString(w.Conn, late)
+}
+
+// write writes an answer and draws whether a second copy of it follows late. It
+// reports whether the connection is still open.
+func (w *answerWriter) write(b Behaviour, answer string) bool {
+	if w.target.randomFault(b.lateCopyShare) {
+		w.copy = answer
+	}
+	return writeString(w.Conn, answer)
+}
+
 // handle serves one request. It returns false if the connection must be closed.
-func (t *Target) handle(conn net.Conn, req *fasthttp.Request) bool {
+func (t *Target) handle(w *answerWriter, req *fasthttp.Request) bool {
 	id := string(req.Header.Peek(platform.HeaderRequestID))
 	b := t.currentBehaviour()
 	if want := string(req.Header.Peek(platform.HeaderExpect)); want != "" && want != t.id {
-		return writeString(conn, fmt.Sprintf("HTTP/1.1 421 Misdirected Request\r\n%s: %s\r\nContent-Length: 0\r\n\r\n", platform.HeaderInstance, t.id))
+		return w.write(b, fmt.Sprintf("HTTP/1.1 421 Misdirected Request\r\n%s: %s\r\n%s: %s\r\nContent-Length: 0\r\n\r\n",
+			platform.HeaderInstance, t.id, platform.HeaderRequestID, id))
 	}
 	t.mu.Lock()
 	t.arrivals = append(t.arrivals, time.Now())
@@ -208,7 +235,8 @@
 		t.mu.Lock()
 		t.refused++
 		t.mu.Unlock()
-		return writeString(conn, "HTTP/1.1 503 Service Unavailable\r\n"+b.header+platform.HeaderNotRun+": 1\r\nContent-Length: 0\r\n\r\n")
+		return w.write(b, fmt.Sprintf("HTTP/1.1 503 Service Unavailable\r\n%s%s: %s\r\n%s: 1\r\nContent-Length: 0\r\n\r\n",
+			b.header, platform.HeaderRequestID, id, platform.HeaderNotRun))
 	}
 	if b.crashText != "" && strings.Contains(string(req.RequestURI()), b.crashText) {
 		t.crash(b)
@@ -219,20 +247,20 @@
 	t.releaseSlot()
 	if b = t.currentBehaviour(); b.blackhole || b.silent {
 		// Keeps the connection open without a reply until the client closes it.
-		_, _ = io.Copy(io.Discard, conn)
+		_, _ = io.Copy(io.Discard, w.Conn)
 		return false
 	}
 	if t.randomFault(b.droppedReplyShare) {
 		return false
 	}
 	if t.randomFault(b.failedShare) {
-		return writeString(conn, formatResponse(b, 500, id, t.id, nil))
+		return w.write(b, formatResponse(b, 500, id, t.id, nil))
 	}
 	response := formatResponse(b, 200, id, t.id, Records(t.id, string(req.RequestURI())))
 	if t.randomFault(b.duplicatedReplyShare) {
 		response += response
 	}
-	return writeString(conn, response)
+	return w.write(b, response)
 }
 
 // acquireSlot waits for a slot. It returns false at once if the queue is full.
--- a/standin/soak/faults.go
+++ b/standin/soak/faults.go
@@ -89,6 +89,9 @@
 	{"target duplicates and drops replies", false, func(s *Soak, d time.Duration) {
 		s.degradeTarget(d, shards.Duplicating(0.3), shards.DroppingReplies(0.2))
 	}},
+	{"target repeats refusals late", false, func(s *Soak, d time.Duration) {
+		s.degradeTarget(d, shards.Shedding(0.4), shards.LateCopies(0.5))
+	}},
 }
 
 func (s *Soak) randomDaemon() *process { return s.daemons[s.randIntn(len(s.daemons))] }
--- a/targets/call.go
+++ b/targets/call.go
@@ -17,6 +17,7 @@
 	results      chan<- *Call
 	allow        func(Entry) bool
 	earlier      []*Call
+	avoided      []*Call
 	purpose      Purpose
 
 	// The group's lock guards these fields until the result is delivered.
@@ -65,8 +66,13 @@
 // Allow restricts the call to the targets for which f returns true.
 func Allow(f func(Entry) bool) CallOption { return func(c *Call) { c.allow = f } }
 
+// Follows names the earlier calls of the same request to the group. Their
+// connections are excluded: answers name only their request, so a late second
+// copy of an earlier answer could not be told from the answer to this call.
+func Follows(calls ...*Call) CallOption { return func(c *Call) { c.earlier = calls } }
+
 // AvoidTargetsOf excludes the targets of earlier calls of the same request.
-func AvoidTargetsOf(calls ...*Call) CallOption { return func(c *Call) { c.earlier = calls } }
+func AvoidTargetsOf(calls ...*Call) CallOption { return func(c *Call) { c.avoided = calls } }
 
 // Tag returns the number set by the option Tag.
 func (c *Call) Tag() int { return c.tag }
@@ -89,10 +95,25 @@
 	return c.target.id
 }
 
+// Connection returns the number of the connection that the call was sent on, or
+// 0. Numbers are unique within a group.
+func (c *Call) Connection() int {
+	if c.conn == nil {
+		return 0
+	}
+	return c.conn.number
+}
+
 // Latency returns the time from sending to the end of the call.
 func (c *Call) Latency() time.Duration { return c.ended.Sub(c.sent) }
 
-// avoids reports whether an earlier call of the request used t.
+// avoids reports whether t is excluded because an earlier call of the request
+// used it.
 func (c *Call) avoids(t *Target) bool {
-	return slices.ContainsFunc(c.earlier, func(earlier *Call) bool { return earlier.target == t })
+	return slices.ContainsFunc(c.avoided, func(earlier *Call) bool { return earlier.target == t })
+}
+
+// wasSentOn reports whether an earlier call of the request was sent on conn.
+func (c *Call) wasSentOn(conn *conn) bool {
+	return slices.ContainsFunc(c.earlier, func(earlier *Call) bool { return earlier.conn == conn })
 }
--- a/targets/conn.go
+++ b/targets/conn.go
@@ -31,6 +31,7 @@
 type conn struct {
 	net.Conn
 	target *Target
+	number int // Distinguishes the connections of a group in logs.
 	r      *bufio.Reader
 	limits *budgetReader // Below r.
 
--- a/targets/connect.go
+++ b/targets/connect.go
@@ -116,6 +116,8 @@
 	}
 	t.unreachable = false
 	c := newConn(t, nc, now)
+	g.connections++
+	c.number = g.connections
 	t.conns = append(t.conns, c)
 	g.wg.Add(1)
 	go func() {
--- a/targets/dispatch.go
+++ b/targets/dispatch.go
@@ -117,7 +117,7 @@
 			continue
 		}
 		cost := t.cost(now, g.domain)
-		conn := t.idleConn(now, c.req.idempotent)
+		conn := t.idleConn(now, c)
 		if conn == nil {
 			if t.dialing == 0 && (now.Before(t.retryAt) || !t.mayDial(g.maxConns) && t.oldestIdleConn() == nil) {
 				continue
--- a/targets/group.go
+++ b/targets/group.go
@@ -53,18 +53,19 @@
 
 	readBudget *ReadBudget
 
-	mu         sync.Mutex
-	wg         sync.WaitGroup
-	closed     bool
-	targets    []*Target
-	rotation   int
-	waiting    []*Call
-	budget     budget
-	maxConns   int // Maximum connections to one target.
-	coldLimits ColdLimits
-	dispatchAt time.Time // When the next dispatch for a target with a limit is due; zero if none is.
-	preconnect bool      // Connections are opened before they are needed.
-	move       *versionMove
+	mu          sync.Mutex
+	wg          sync.WaitGroup
+	closed      bool
+	targets     []*Target
+	rotation    int
+	connections int // Connections opened so far.
+	waiting     []*Call
+	budget      budget
+	maxConns    int // Maximum connections to one target.
+	coldLimits  ColdLimits
+	dispatchAt  time.Time // When the next dispatch for a target with a limit is due; zero if none is.
+	preconnect  bool      // Connections are opened before they are needed.
+	move        *versionMove
 }
 
 // NewGroup returns a group for a service, without targets.
--- a/targets/target.go
+++ b/targets/target.go
@@ -155,12 +155,12 @@
 	return slowness > serialSlowness
 }
 
-// idleConn returns the most recently used idle connection that may carry a
-// request, or nil.
-func (t *Target) idleConn(now time.Time, idempotent bool) *conn {
+// idleConn returns the most recently used idle connection that may carry call,
+// or nil.
+func (t *Target) idleConn(now time.Time, call *Call) *conn {
 	var best *conn
 	for _, c := range t.conns {
-		if c.call != nil || c.desynchronized || c.nearIdleTimeout(now) || !idempotent && !c.safeForNonIdempotent(now) {
+		if c.call != nil || c.desynchronized || c.nearIdleTimeout(now) || call.wasSentOn(c) || !call.req.idempotent && !c.safeForNonIdempotent(now) {
 			continue
 		}
 		if best == nil || c.idleSince.After(best.idleSince) {
