home: a reply from another process shows a restart

What callers saw: on the product's own interface (serve), a searcher that had restarted since its last health reply got its full load for up to a second although it was cold (FAILBACK).

Cause: only health replies, one a second, named the process. The replies to calls named it too (X-Boot), but nothing read that.

Change: a reply from another process than before resets the searcher's warm-up, and it counts as cold until its next health reply.

--- a/home/attemptend.go
+++ b/home/attemptend.go
@@ -56,6 +56,9 @@
 	if r.Version() != "" {
 		a.version = r.Version()
 	}
+	if r.Boot() != "" {
+		m.setBoot(r.Boot())
+	}
 	m.failures, m.lastReply = 0, now
 	m.errors.observe(now, 0)
 	g.service.evidence.recordReply(a.version, a.task.req.Route(), took)
--- a/home/cold_test.go
+++ b/home/cold_test.go
@@ -63,6 +63,26 @@
 	}
 }
 
+// Guards against full load on a searcher that has restarted since its last health
+// reply (FAILBACK).
+func TestRestartBetweenHealthReplies(t *testing.T) {
+	for _, slowdown := range []float64{1, 3} {
+		for seed := range uint64(coldSeeds) {
+			fx := newTwoReplicas(seed, func(*fixture) {})
+			fx.load(0.6, 5*time.Second)
+			fx.clk.run(500 * time.Millisecond)
+			f := fx.fakes["s00-0"]
+			f.refusesAboveLimit, f.coldSlowdown = false, slowdown
+			f.restart()
+			fx.load(0.6, 5*time.Second)
+			// The requests that are in flight when the first reply names the new process.
+			if bound := f.spec.Slots(); f.aboveColdLimit > bound {
+				t.Errorf("seed %d, %v times slower while cold: %d requests above the cold limit, want at most %d", seed, slowdown, f.aboveColdLimit, bound)
+			}
+		}
+	}
+}
+
 // Guards against warm searchers that are marked as cold because a pause of the
 // VM delays all replies in flight.
 func TestVMPauses(t *testing.T) {
--- a/home/fake_test.go
+++ b/home/fake_test.go
@@ -100,7 +100,7 @@
 			labels = append(labels, f.label(s))
 		}
 		done(searcher.NewHealth(searcher.HealthSpec{
-			State: state, Version: f.version(), Boot: string(rune('a' + f.boot)), Labels: labels,
+			State: state, Version: f.version(), Boot: f.bootID(), Labels: labels,
 		}), nil)
 	})
 }
@@ -240,10 +240,18 @@
 		snapshot = fc.f.snapshots[0]
 	}
 	fc.f.clk.AfterFunc(fc.f.netDelay, func() {
-		fc.end(searcher.NewReply(searcher.ReplySpec{Version: fc.f.version(), Label: fc.f.label(snapshot)}), nil)
+		fc.end(searcher.NewReply(searcher.ReplySpec{Version: fc.f.version(), Boot: fc.f.bootID(), Label: fc.f.label(snapshot)}), nil)
 	})
 }
 
+func (f *fake) bootID() string { return string(rune('a' + f.boot)) }
+
+// restart replaces the process at once while no request runs. It is cold.
+func (f *fake) restart() {
+	f.boot++
+	f.cold = true
+}
+
 // crash ends the process: its running requests break, and it restarts cold
 // after 1 s.
 func (f *fake) crash() {
--- a/home/member.go
+++ b/home/member.go
@@ -106,6 +106,16 @@
 	return min(1, m.slots())
 }
 
+// setBoot records which process answered. Another one than before has restarted
+// and counts as cold until its next health reply.
+func (m *member) setBoot(id string) {
+	if m.bootID != "" && m.bootID != id {
+		m.resetAfterRestart()
+		m.drainUntil, m.reportedState = 0, searcher.Cold
+	}
+	m.bootID = id
+}
+
 // resetAfterRestart discards all state that belonged to the process before a
 // restart.
 func (m *member) resetAfterRestart() {
--- a/home/poll.go
+++ b/home/poll.go
@@ -92,11 +92,8 @@
 // warm. For the limit of requests in flight, a report of ready counts only while
 // the searcher is neither warm nor known to be cold.
 func (g *group) handleHealth(m *member, h searcher.Health, now time.Duration) {
-	if m.bootID != "" && m.bootID != h.Boot() {
-		m.resetAfterRestart()
-		m.drainUntil = 0
-	}
-	m.bootID, m.reportedVersion, m.reportedState = h.Boot(), h.Version(), h.State()
+	m.setBoot(h.Boot())
+	m.reportedVersion, m.reportedState = h.Version(), h.State()
 	m.failures, m.down = 0, false
 	if h.State() == searcher.Draining {
 		m.draining, m.drainUntil = true, 0
--- a/searcher/decode.go
+++ b/searcher/decode.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"strings"
 
 	"medlaryard.example/medlaryard/refusal"
 	"medlaryard.example/medlaryard/shard"
@@ -129,6 +130,6 @@
 		labels = append(labels, s.label())
 	}
 	return NewHealth(HealthSpec{
-		State: state, Version: w.Version, Boot: string(w.Boot), InFlight: w.InFlight, Labels: labels,
+		State: state, Version: w.Version, Boot: strings.Trim(string(w.Boot), `"`), InFlight: w.InFlight, Labels: labels,
 	}), nil
 }
--- a/searcher/exchange.go
+++ b/searcher/exchange.go
@@ -106,7 +106,9 @@
 func (x *exchange) classify(resp *fasthttp.Response) (Reply, *Failure) {
 	status := resp.StatusCode()
 	if status == fasthttp.StatusOK {
-		return decodeReply(x.call, resp.Body())
+		reply, failure := decodeReply(x.call, resp.Body())
+		reply.spec.Boot = string(resp.Header.Peek("X-Boot"))
+		return reply, failure
 	}
 	if f := x.checkID(string(resp.Header.Peek("X-Request-Id"))); f != nil {
 		return Reply{}, f
--- a/searcher/reply.go
+++ b/searcher/reply.go
@@ -6,6 +6,9 @@
 type ReplySpec struct {
 	// Version is the back-end version that sent the reply.
 	Version string
+	// Boot identifies the searcher process as in its health replies; empty if the
+	// reply does not name it.
+	Boot string
 	// Label describes the snapshot and the range that the reply covers.
 	Label shard.Label
 	// Hits are the results, ordered by descending score.
@@ -26,6 +29,9 @@
 // Version returns the back-end version that sent the reply.
 func (r Reply) Version() string { return r.spec.Version }
 
+// Boot returns the id of the searcher process that sent the reply, or "".
+func (r Reply) Boot() string { return r.spec.Boot }
+
 // Label returns the snapshot and the range that the reply covers.
 func (r Reply) Label() shard.Label { return r.spec.Label }
 
