targets: limit a target that has restarted like a cold one

Cause: only a target's entry in the store made it cold. A daemon took a target that accepted connections again back into service as it had been, and the entry of the new start arrives only once the store is back. With the store up the same holds for the time until the entry arrives.

Change: refused connections prove that no process listens; a target that accepts connections after them is cold for the service's warm-up. After silence that is assumed only while the store is away or was until a moment ago, since otherwise a new entry would show it, and a cut that heals must not make all targets cold. The daemons that saw the restart tell the others in their heartbeats, so that daemons that had no connection, or have just started, keep to it too.

--- a/node/notices.go
+++ b/node/notices.go
@@ -2,14 +2,15 @@
 
 import (
 	"slices"
+	"time"
 
 	"medlaryard.example/medlaryard/fleet"
 	"medlaryard.example/medlaryard/mirror/mirrorpb"
 	"medlaryard.example/medlaryard/targets"
 )
 
-// targetNotices returns what targets have recently stated about themselves to
-// this daemon, for its heartbeats.
+// targetNotices returns what this daemon has recently learned of targets from
+// themselves, for its heartbeats.
 func (d *Daemon) targetNotices() []*mirrorpb.TargetNotice { return encodeNotices(d.notices.Recent()) }
 
 // maxGreetingNotices is the number of notices in one heartbeat to a daemon that
@@ -27,10 +28,14 @@
 	return all
 }
 
+// maxNoticedCold bounds how long a heartbeat may limit a target. It is longer than
+// any warm-up.
+const maxNoticedCold = time.Minute
+
 func encodeNotices(notices []targets.SharedNotice) []*mirrorpb.TargetNotice {
 	var all []*mirrorpb.TargetNotice
 	for _, n := range notices {
-		w := &mirrorpb.TargetNotice{Target: n.Target(), Leaving: n.Leaving()}
+		w := &mirrorpb.TargetNotice{Target: n.Target(), Leaving: n.Leaving(), ColdMs: uint32(n.ColdFor().Milliseconds())}
 		if limit, ok := n.Limit(); ok {
 			perSecond := float32(limit)
 			w.Limit = &perSecond
@@ -40,14 +45,17 @@
 	return all
 }
 
-// mergeNotices adds what targets have stated to another daemon, so that a
-// daemon that has not sent to them keeps to it too.
+// mergeNotices adds what another daemon knows of targets, so that a daemon that
+// has not sent to them keeps to it too.
 func (d *Daemon) mergeNotices(m fleet.Member) {
-	if m.Name() == d.settings.Name() {
-		return
+	if m.Name() != d.settings.Name() {
+		d.notices.Merge(decodeNotices(m.Notices()))
 	}
+}
+
+func decodeNotices(notices []*mirrorpb.TargetNotice) []targets.SharedNotice {
 	var shared []targets.SharedNotice
-	for _, w := range m.Notices() {
+	for _, w := range notices {
 		var opts []targets.NoticeOption
 		if w.Limit != nil {
 			opts = append(opts, targets.Limit(float64(w.GetLimit())))
@@ -55,7 +63,8 @@
 		if w.GetLeaving() {
 			opts = append(opts, targets.Leaving())
 		}
-		shared = append(shared, targets.NewSharedNotice(w.GetTarget(), targets.NewNotice(opts...)))
+		coldFor := min(time.Duration(w.GetColdMs())*time.Millisecond, maxNoticedCold)
+		shared = append(shared, targets.NewSharedNotice(w.GetTarget(), targets.NewNotice(opts...)).Restarted(coldFor))
 	}
-	d.notices.Merge(shared)
+	return shared
 }
--- a/node/notices_test.go
+++ b/node/notices_test.go
@@ -1,10 +1,14 @@
 package node
 
 import (
+	"math"
 	"net/http"
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
+
+	"medlaryard.example/medlaryard/mirror/mirrorpb"
 	"medlaryard.example/medlaryard/platform"
 	"medlaryard.example/medlaryard/standin/shards"
 )
@@ -25,3 +29,20 @@
 		t.Errorf("status %d and %d runs, want 503 and none", r.status, c.runs("second"))
 	}
 }
+
+// Guards against a daemon that sends its usual load to a cold target because only
+// other daemons have seen it restart, and against a heartbeat that limits a target
+// for too long.
+func TestRestartReachesPeers(t *testing.T) {
+	wire := []*mirrorpb.TargetNotice{{Target: 1, ColdMs: 2500}, {Target: 2, ColdMs: math.MaxUint32}}
+	var got []time.Duration
+	for _, s := range decodeNotices(wire) {
+		got = append(got, s.ColdFor())
+	}
+	if diff := cmp.Diff([]time.Duration{2500 * time.Millisecond, maxNoticedCold}, got); diff != "" {
+		t.Errorf("cold for (-want +got):\n%s", diff)
+	}
+	if diff := cmp.Diff(uint32(2500), encodeNotices(decodeNotices(wire))[0].GetColdMs()); diff != "" {
+		t.Errorf("cold in a heartbeat (-want +got):\n%s", diff)
+	}
+}
--- a/standin/shards/target.go
+++ b/standin/shards/target.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"math"
@@ -11,6 +10,7 @@
 	"net"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -39,8 +39,8 @@
 }
 
 var (
-	errReset   = errors.New("connection reset")
-	errRefused = errors.New("connection refused")
+	errReset   = fmt.Errorf("emulated target: %w", syscall.ECONNRESET)
+	errRefused = fmt.Errorf("emulated target: %w", syscall.ECONNREFUSED)
 )
 
 func newTarget(id, address string, b Behaviour, seed int64) *Target {
--- a/targets/cold.go
+++ b/targets/cold.go
@@ -12,8 +12,9 @@
 // targets.
 type ColdLimits struct {
 	division
-	rate  float64
-	burst float64
+	rate   float64
+	burst  float64
+	warmUp time.Duration // How long a target is cold after its start.
 }
 
 // NewColdLimits returns limits of rate requests per second to a cold target
@@ -25,6 +26,12 @@
 	return ColdLimits{division: newDivision(daemons, position), rate: rate, burst: (overshoot-coldMargin)*rate + slack}
 }
 
+// WarmUp returns the limits for targets that are cold for d after their start.
+func (l ColdLimits) WarmUp(d time.Duration) ColdLimits {
+	l.warmUp = d
+	return l
+}
+
 // senderCount returns how many daemons may send to one cold target. Each of
 // them may send a burst of one request on top of its share of the rate, so
 // their number is bounded by the burst allowed.
@@ -38,7 +45,8 @@
 	return rate{perSecond: coldMargin * l.rate / float64(l.senderCount()), burst: 1}
 }
 
-// isCold reports whether t is cold and therefore limited.
+// isCold reports whether t is cold, by its entry or because it has restarted, and
+// therefore limited.
 func (g *Group) isCold(t *Target, now time.Time) bool {
-	return g.coldLimits.rate > 0 && now.Before(t.coldUntil)
+	return g.coldLimits.rate > 0 && (now.Before(t.coldUntil) || g.notices.coldFor(t.fingerprint) > 0)
 }
--- a/targets/connect.go
+++ b/targets/connect.go
@@ -102,6 +102,7 @@
 	now := g.clock.Now()
 	t.dialing--
 	if err != nil {
+		t.absence = max(t.absence, absenceOf(err))
 		g.handleDialFailure(t, err)
 		g.unlockAndSend(now)
 		return
@@ -115,6 +116,7 @@
 		g.log.Info().Str("service", g.service).Str("target", t.entry.id).Msg("target accepts connections again")
 	}
 	t.unreachable = false
+	g.detectRestart(t, now)
 	c := newConn(t, nc, now)
 	g.connections++
 	c.number = g.connections
--- a/targets/notices.go
+++ b/targets/notices.go
@@ -13,7 +13,7 @@
 	// noticeShareTime is how long a notice is passed on to other daemons after
 	// the target stated it. It spans several heartbeats.
 	noticeShareTime = 2 * time.Second
-	// maxSharedNotices bounds the notices in one heartbeat, at 17 bytes each.
+	// maxSharedNotices bounds the notices in one heartbeat, at 21 bytes each.
 	maxSharedNotices = 40
 	// maxLeavingNotices bounds the notices for a daemon that has just started. It
 	// covers all targets of a failure domain.
@@ -26,14 +26,28 @@
 	leavingTTL = 10 * time.Minute
 )
 
-// SharedNotice is a notice that one daemon passes on to others.
+// SharedNotice is what one daemon tells others of a target.
 type SharedNotice struct {
-	target uint64
-	notice Notice
+	target  uint64
+	notice  Notice
+	coldFor time.Duration
 }
 
 // NewSharedNotice returns the notice of the target with the given fingerprint.
-func NewSharedNotice(target uint64, n Notice) SharedNotice { return SharedNotice{target, n} }
+func NewSharedNotice(target uint64, n Notice) SharedNotice {
+	return SharedNotice{target: target, notice: n}
+}
+
+// Restarted returns the notice of a target that the sender has seen restart and
+// that is cold for d.
+func (s SharedNotice) Restarted(d time.Duration) SharedNotice {
+	s.coldFor = d
+	return s
+}
+
+// ColdFor returns how long the target is still cold because the sender has seen
+// it restart, 0 if it has not.
+func (s SharedNotice) ColdFor() time.Duration { return s.coldFor }
 
 // Target returns the fingerprint of the target, which is the same on all
 // daemons.
@@ -46,8 +60,8 @@
 // Leaving reports whether the target has stated that it leaves.
 func (s SharedNotice) Leaving() bool { return s.notice.leaving }
 
-// Notices holds what the targets of all services last stated about themselves.
-// It outlives the entries of targets and is safe for concurrent use.
+// Notices holds what the targets of all services last stated about themselves,
+// and which of them have restarted. It outlives the entries of targets and is safe for concurrent use.
 type Notices struct {
 	clock clock.Clock
 
@@ -64,6 +78,13 @@
 	heardAt  time.Time // When the target or another daemon last confirmed it.
 
 	pausedUntil time.Time // Until when the target takes no requests from this daemon.
+	coldUntil   time.Time // Until when the target is cold because it has restarted.
+	seenCold    time.Time // The same, if this daemon saw it restart.
+}
+
+// holds reports whether the state contains anything at all.
+func (s noticeState) holds(now time.Time) bool {
+	return s.limited || s.leaving || now.Before(s.pausedUntil) || now.Before(s.coldUntil)
 }
 
 // expired reports whether nothing of the state holds any more.
@@ -72,7 +93,7 @@
 	if s.leaving {
 		ttl = leavingTTL
 	}
-	return now.Sub(s.heardAt) > ttl && !now.Before(s.pausedUntil)
+	return now.Sub(s.heardAt) > ttl && !now.Before(s.pausedUntil) && !now.Before(s.coldUntil)
 }
 
 // NewNotices returns an empty collection.
@@ -94,7 +115,7 @@
 	if until := now.Add(notice.pause); notice.pause > 0 && until.After(s.pausedUntil) {
 		s.pausedUntil = until
 	}
-	if !s.limited && !s.leaving && !now.Before(s.pausedUntil) {
+	if !s.holds(now) {
 		delete(n.states, target)
 		return
 	}
@@ -102,8 +123,19 @@
 	n.states[target] = s
 }
 
+// recordRestart records that this daemon has seen a target restart, which is cold
+// until the given time.
+func (n *Notices) recordRestart(target uint64, until time.Time) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	s := n.states[target]
+	s.coldUntil, s.seenCold = until, until
+	n.states[target] = s
+}
+
 // Recent returns the notices that targets have stated to this daemon in the
-// last seconds, the newest first, and removes those that have expired.
+// last seconds, the newest first, then those of targets that it has seen restart
+// and that are cold. It removes the notices that have expired.
 func (n *Notices) Recent() []SharedNotice {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -113,7 +145,7 @@
 		switch {
 		case s.expired(now):
 			delete(n.states, target)
-		case (s.limited || s.leaving) && !s.statedAt.IsZero() && now.Sub(s.statedAt) <= noticeShareTime:
+		case s.statedLately(now), now.Before(s.seenCold):
 			recent = append(recent, target)
 		}
 	}
@@ -123,11 +155,21 @@
 	var shared []SharedNotice
 	for _, target := range recent[:min(len(recent), maxSharedNotices)] {
 		s := n.states[target]
-		shared = append(shared, NewSharedNotice(target, Notice{limit: s.limit, limited: s.limited, leaving: s.leaving}))
+		var notice Notice
+		if s.statedLately(now) {
+			notice = Notice{limit: s.limit, limited: s.limited, leaving: s.leaving}
+		}
+		shared = append(shared, NewSharedNotice(target, notice).Restarted(max(s.seenCold.Sub(now), 0)))
 	}
 	return shared
 }
 
+// statedLately reports whether the target itself has stated something to this
+// daemon that is still passed on.
+func (s noticeState) statedLately(now time.Time) bool {
+	return (s.limited || s.leaving) && !s.statedAt.IsZero() && now.Sub(s.statedAt) <= noticeShareTime
+}
+
 // Leaving returns the targets that are known to leave, those heard of last
 // first. A daemon that has just started needs them all, since targets may leave
 // long after they have said so.
@@ -162,8 +204,13 @@
 			state.limit, state.limited = s.notice.limit, true
 		}
 		state.leaving = state.leaving || s.notice.leaving
-		if state.limited || state.leaving {
+		if until := now.Add(s.coldFor); s.coldFor > 0 && until.After(state.coldUntil) {
+			state.coldUntil = until
+		}
+		if s.notice.limited || s.notice.leaving {
 			state.heardAt = now
+		}
+		if state.holds(now) {
 			n.states[s.target] = state
 		}
 	}
@@ -198,6 +245,14 @@
 	return max(n.states[target].pausedUntil.Sub(n.clock.Now()), 0)
 }
 
+// coldFor returns how long a target is still cold because it has restarted, 0 if
+// it is not.
+func (n *Notices) coldFor(target uint64) time.Duration {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return max(n.states[target].coldUntil.Sub(n.clock.Now()), 0)
+}
+
 // Limited returns the number of targets that have named a limit.
 func (n *Notices) Limited() int {
 	n.mu.Lock()
--- a/targets/target.go
+++ b/targets/target.go
@@ -64,6 +64,7 @@
 	addressReused bool      // Another target uses its address.
 	retryAt       time.Time // When the next connection may be tried after a failure.
 	dialFailures  int       // Consecutive failed connection attempts.
+	absence       absence   // What the connection attempts since the last successful one show.
 
 	suspects []uint64  // Fingerprints of the requests on the connections that broke last.
 	brokenAt time.Time // When a connection broke last.
