readbudget: keep large answers out of the pool of responses

What operators reported: a faulty searcher sent bytes that were no answer without end; the machine that had called it ran out of memory (LOST).

Cause: the budget for answers that are being read bounds their bytes, but after reading failed the response went back to the pool of fasthttp with its buffer of up to 32 MB. The pool kept one for each connection and handed them out for small answers. Ruled out: the limits on one answer and on all together, which hold (TestEndlessAnswers), and heads, which end at 4 KB.

Change: answers that broke off or are larger than 64 KB are left to the garbage collector. The budget moves from package targets to its own, as the product's own interface will need it too. The soak has targets that answer without end, checks the memory of each process against 284 MB, and can play one kind of fault.

TestMemoryOfLargeAnswersPooled fails before the change (a buffer of 16 MB stays in the pool) and passes after it.

--- a/node/daemon.go
+++ b/node/daemon.go
@@ -18,6 +18,7 @@
 	"medlaryard.example/medlaryard/peer/peerpb"
 	"medlaryard.example/medlaryard/platform"
 	"medlaryard.example/medlaryard/query"
+	"medlaryard.example/medlaryard/readbudget"
 	"medlaryard.example/medlaryard/route"
 	"medlaryard.example/medlaryard/targets"
 )
@@ -95,7 +96,7 @@
 	notices  *targets.Notices
 	peers    *http.Client
 
-	readBudget *targets.ReadBudget
+	readBudget *readbudget.Budget
 
 	incarnation uint64
 	shutdown    *shutdown
@@ -163,7 +164,7 @@
 		moves:         make(map[string]*moveState),
 		reports:       targets.NewReports(c),
 		notices:       targets.NewNotices(c),
-		readBudget:    targets.NewReadBudget(),
+		readBudget:    readbudget.New(),
 		reportCursors: make(reportCursors),
 		failures:      make(chan error, 1),
 		peers: &http.Client{Transport: &http.Transport{
--- /dev/null
+++ b/readbudget/budget.go
@@ -0,0 +1,77 @@
+package readbudget
+
+import (
+	"errors"
+	"io"
+	"sync"
+)
+
+const (
+	// maxBytes bounds the answers that are being read, over all targets.
+	maxBytes = 24 << 20
+	// freeBytes is the part of each answer that does not count, so that usual
+	// answers are read whatever the other targets send.
+	freeBytes = 64 << 10
+)
+
+// Budget bounds the memory that answers take while they are being read. It is safe
+// for concurrent use.
+type Budget struct {
+	mu    sync.Mutex
+	taken int
+}
+
+// New returns a budget for the connections of one daemon.
+func New() *Budget { return &Budget{} }
+
+// take takes n bytes, unless too few are left.
+func (b *Budget) take(n int) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.taken+n > maxBytes {
+		return false
+	}
+	b.taken += n
+	return true
+}
+
+func (b *Budget) release(n int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.taken -= n
+}
+
+var errSpent = errors.New("answers of all targets exceed the memory for reading them")
+
+// Reader reads the answers of one connection within a budget. It is used by one
+// goroutine.
+type Reader struct {
+	io.Reader
+	budget *Budget
+	read   int // Bytes of the current answer.
+	taken  int // Part of these that counts against the budget.
+}
+
+// NewReader returns a Reader of r within the budget.
+func NewReader(r io.Reader, b *Budget) *Reader { return &Reader{Reader: r, budget: b} }
+
+// Read implements io.Reader. It fails if the budget is spent.
+func (r *Reader) Read(p []byte) (int, error) {
+	n, err := r.Reader.Read(p)
+	r.read += n
+	if need := r.read - freeBytes - r.taken; need > 0 {
+		if !r.budget.take(need) {
+			return 0, errSpent
+		}
+		r.taken += need
+	}
+	return n, err
+}
+
+// EndAnswer returns what the current answer has taken.
+func (r *Reader) EndAnswer() {
+	if r.taken > 0 {
+		r.budget.release(r.taken)
+	}
+	r.read, r.taken = 0, 0
+}
--- a/standin/cmd/soak/main.go
+++ b/standin/cmd/soak/main.go
@@ -21,6 +21,7 @@
 	Daemons int           `default:"5" help:"Number of daemons."`
 	Length  time.Duration `default:"15s" help:"How long faults are injected."`
 	Apply   time.Duration `default:"3s" help:"Time within which a configuration is in force when all is calm."`
+	Only    string        `help:"Inject only the kind of fault with this name."`
 	Logs    string        `default:"soak-logs" help:"Directory for settings and logs; those of seeds without a violation are removed."`
 	Verbose bool          `help:"Print the faults of all seeds."`
 }
@@ -63,7 +64,7 @@
 	if c.Verbose {
 		out = io.MultiWriter(f, os.Stdout)
 	}
-	violations, err := soak.Run(soak.NewConfig(c.Binary, dir, c.Daemons, c.Length, c.Apply), seed, out)
+	violations, err := soak.Run(soak.NewConfig(c.Binary, dir, c.Daemons, c.Length, c.Apply).Only(c.Only), seed, out)
 	if err == nil && len(violations) == 0 {
 		return nil, os.RemoveAll(dir)
 	}
--- a/standin/shards/behaviour.go
+++ b/standin/shards/behaviour.go
@@ -23,6 +23,7 @@
 	silent               bool
 	handshakeTime        time.Duration
 	crashText            string
+	endless              Endlessness
 	header               string
 }
 
@@ -102,6 +103,22 @@
 // restarts after 3 s.
 func Crashing(text string) Option { return func(b *Behaviour) { b.crashText = text } }
 
+// Endlessness is the form of an answer that never ends.
+type Endlessness int
+
+// The values of Endlessness.
+const (
+	Ends         Endlessness = iota // The answer ends.
+	EndlessHead                     // Header lines.
+	EndlessBody                     // A body that ends with the connection.
+	EndlessChunk                    // A body in chunks.
+	NoAnswer                        // Bytes that are no answer.
+)
+
+// Endless runs all requests and answers them without end, until the connection is
+// closed.
+func Endless(e Endlessness) Option { return func(b *Behaviour) { b.endless = e } }
+
 // Header adds a header field to all answers, also to refusals.
 func Header(name, value string) Option {
 	return func(b *Behaviour) { b.header += name + ": " + value + "\r\n" }
--- a/standin/shards/target.go
+++ b/standin/shards/target.go
@@ -250,6 +250,10 @@
 		_, _ = io.Copy(io.Discard, w.Conn)
 		return false
 	}
+	if b.endless != Ends {
+		writeEndless(w.Conn, b.endless, formatHead(b, 200, id, t.id))
+		return false
+	}
 	if t.randomFault(b.droppedReplyShare) {
 		return false
 	}
@@ -326,9 +330,35 @@
 	return err == nil
 }
 
+// writeEndless writes an answer with the given begin of its head until the
+// connection is closed.
+func writeEndless(conn net.Conn, e Endlessness, head string) {
+	const blockSize = 32 << 10
+	begin, text := "", "x"
+	switch e {
+	case EndlessHead:
+		begin, text = head, "X-Header: value\r\n"
+	case EndlessBody:
+		begin = head + "Connection: close\r\n\r\n"
+	case EndlessChunk:
+		begin, text = head+"Transfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n"
+	case NoAnswer, Ends:
+	}
+	block := strings.Repeat(text, blockSize/len(text))
+	ok := writeString(conn, begin)
+	for ok {
+		ok = writeString(conn, block)
+	}
+}
+
 // formatResponse returns an HTTP response that carries the request id, the
 // target's stamp for it and the header fields of the behaviour.
 func formatResponse(b Behaviour, status int, id, target string, body []byte) string {
-	return fmt.Sprintf("HTTP/1.1 %d %s\r\n%s%s: %s\r\n%s: %s.%s\r\nContent-Length: %d\r\n\r\n%s",
-		status, fasthttp.StatusMessage(status), b.header, platform.HeaderRequestID, id, platform.HeaderStamp, target, id, len(body), body)
+	return fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", formatHead(b, status, id, target), len(body), body)
+}
+
+// formatHead returns the head of such a response without the length of its body.
+func formatHead(b Behaviour, status int, id, target string) string {
+	return fmt.Sprintf("HTTP/1.1 %d %s\r\n%s%s: %s\r\n%s: %s.%s\r\n",
+		status, fasthttp.StatusMessage(status), b.header, platform.HeaderRequestID, id, platform.HeaderStamp, target, id)
 }
--- a/standin/soak/faults.go
+++ b/standin/soak/faults.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"slices"
 	"strings"
 	"syscall"
 	"time"
@@ -89,11 +90,17 @@
 	{"target duplicates and drops replies", false, func(s *Soak, d time.Duration) {
 		s.degradeTarget(d, shards.Duplicating(0.3), shards.DroppingReplies(0.2))
 	}},
+	{"answers without end", false, func(s *Soak, d time.Duration) { s.sendEndlessly(d) }},
 	{"target repeats refusals late", false, func(s *Soak, d time.Duration) {
 		s.degradeTarget(d, shards.Shedding(0.4), shards.LateCopies(0.5))
 	}},
 }
 
+// faultsNamed returns the kinds of faults with the given name, or all if it is "".
+func faultsNamed(name string) []fault {
+	return slices.DeleteFunc(slices.Clone(faults), func(f fault) bool { return name != "" && f.name != name })
+}
+
 func (s *Soak) randomDaemon() *process { return s.daemons[s.randIntn(len(s.daemons))] }
 
 func (s *Soak) randomTarget() *proxiedTarget { return s.targets[s.randIntn(len(s.targets))] }
@@ -104,6 +111,19 @@
 	applyFor(d, func() { t.SetBehaviour(healthyBehaviour().With(opts...)) }, func() { t.SetBehaviour(healthyBehaviour()) })
 }
 
+// sendEndlessly makes all targets answer without end for d, so that each daemon
+// reads as many such answers as it has connections.
+func (s *Soak) sendEndlessly(d time.Duration) {
+	forms := []shards.Endlessness{shards.EndlessHead, shards.EndlessBody, shards.EndlessChunk, shards.NoAnswer}
+	form := forms[s.randIntn(len(forms))]
+	setAll := func(b shards.Behaviour) {
+		for _, t := range s.targets {
+			t.SetBehaviour(b)
+		}
+	}
+	applyFor(d, func() { setAll(healthyBehaviour().With(shards.Endless(form))) }, func() { setAll(healthyBehaviour()) })
+}
+
 func (s *Soak) injectStoreFault(d time.Duration, f metastore.Fault) {
 	applyFor(d, func() { s.store.Inject(f) }, func() { s.store.Inject(metastore.Healthy()) })
 }
--- a/standin/soak/process.go
+++ b/standin/soak/process.go
@@ -6,6 +6,7 @@
 	"os/exec"
 	"path/filepath"
 	"slices"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -86,6 +87,9 @@
 		err := cmd.Wait()
 		_ = out.Close() // The process has exited and writes no more.
 		p.mu.Lock()
+		if usage, ok := cmd.ProcessState.SysUsage().(*syscall.Rusage); ok {
+			p.checkMemory(usage.Maxrss << 10)
+		}
 		if !p.endRequested {
 			p.violations = append(p.violations, fmt.Sprintf("%s exited unexpectedly: %v", p.name, err))
 		}
@@ -109,13 +113,42 @@
 	return nil
 }
 
-// recordedViolations returns the violations recorded so far.
+// recordedViolations returns the violations recorded so far. It includes the
+// memory of the current process.
 func (p *process) recordedViolations() []string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.checkMemory(peakMemory(p.cmd.Process.Pid))
 	return slices.Clone(p.violations)
 }
 
+// maxMemory is the memory of the smallest VMs on which daemons run, in bytes.
+const maxMemory = 284e6
+
+// checkMemory records a violation if a process took more than maxMemory. The
+// caller holds p.mu.
+func (p *process) checkMemory(peak int64) {
+	if peak > maxMemory {
+		p.violations = append(p.violations, fmt.Sprintf("%s took %d bytes of memory, want at most %.0f", p.name, peak, float64(maxMemory)))
+	}
+}
+
+// peakMemory returns the most memory that a running process has taken, in bytes,
+// or 0 if it is not known.
+func peakMemory(pid int) int64 {
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	if err != nil {
+		return 0 // The process has exited, or the system has no such files.
+	}
+	var kilobytes int64
+	for line := range strings.Lines(string(status)) {
+		if _, err := fmt.Sscanf(line, "VmHWM: %d kB", &kilobytes); err == nil {
+			break
+		}
+	}
+	return kilobytes << 10
+}
+
 // signal sends a signal to the current process.
 func (p *process) signal(s syscall.Signal) {
 	p.mu.Lock()
--- a/standin/soak/soak.go
+++ b/standin/soak/soak.go
@@ -45,6 +45,7 @@
 	guard   net.Listener // Held during a run, because runs use the same addresses.
 	daemons []*process
 	targets []*proxiedTarget
+	faults  []fault // The kinds that are injected.
 
 	mu              sync.Mutex
 	rng             *rand.Rand
@@ -75,6 +76,7 @@
 	daemons       int
 	faultDuration time.Duration
 	applyTimeout  time.Duration
+	only          string
 }
 
 // NewConfig returns the configuration of a run. binary is the path of the daemon,
@@ -85,12 +87,22 @@
 	return Config{binary: binary, dir: dir, daemons: daemons, faultDuration: faultDuration, applyTimeout: applyTimeout}
 }
 
+// Only returns the configuration with one kind of fault, by its name. An empty name
+// means all kinds.
+func (c Config) Only(name string) Config {
+	c.only = name
+	return c
+}
+
 // Run injects the faults that seed determines and returns the violations of the
 // guarantees. It logs the faults and the results to out. It returns an error if the
 // setup fails.
 func Run(cfg Config, seed int64, out io.Writer) ([]string, error) {
 	s := &Soak{out: out, store: metastore.New(50), rng: rand.New(rand.NewSource(seed))}
 	defer s.close()
+	if s.faults = faultsNamed(cfg.only); len(s.faults) == 0 {
+		return nil, fmt.Errorf("there is no fault named %q", cfg.only)
+	}
 	if err := s.start(cfg); err != nil {
 		return nil, err
 	}
@@ -197,7 +209,7 @@
 	var wg sync.WaitGroup
 	for end := time.Now().Add(duration); time.Now().Before(end); {
 		slots <- struct{}{}
-		f := faults[s.randIntn(len(faults))]
+		f := s.faults[s.randIntn(len(s.faults))]
 		d := time.Duration(300+s.randIntn(2500)) * time.Millisecond
 		fmt.Fprintf(s.out, "%s %s for %v\n", time.Now().Format("15:04:05.000"), f.name, d)
 		wg.Add(1)
--- a/standin/soak/soak_test.go
+++ b/standin/soak/soak_test.go
@@ -24,22 +24,35 @@
 // daemons, their store and their targets at the same time. The daemons run as
 // separate processes.
 func TestSeeds(t *testing.T) {
+	binary := build(t)
+	for _, seed := range seeds {
+		play(t, NewConfig(binary, t.TempDir(), 3, 5*time.Second, applyTimeout), seed)
+	}
+}
+
+// build builds the daemon and returns its path.
+func build(t *testing.T) string {
+	t.Helper()
 	binary := filepath.Join(t.TempDir(), "medlaryard")
 	if out, err := exec.Command("go", "build", "-o", binary, "../../cmd/medlaryard").CombinedOutput(); err != nil {
 		t.Fatalf("build: %v\n%s", err, out)
 	}
-	for _, seed := range seeds {
-		var log bytes.Buffer
-		violations, err := Run(NewConfig(binary, t.TempDir(), 3, 5*time.Second, applyTimeout), seed, &log)
-		if err != nil {
-			t.Fatal(err)
-		}
-		for _, v := range violations {
-			t.Errorf("seed %d: %s", seed, v)
-		}
-		if t.Failed() {
-			t.Log(log.String())
-		}
+	return binary
+}
+
+// play runs one seed and reports its violations.
+func play(t *testing.T, cfg Config, seed int64) {
+	t.Helper()
+	var log bytes.Buffer
+	violations, err := Run(cfg, seed, &log)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, v := range violations {
+		t.Errorf("seed %d: %s", seed, v)
+	}
+	if t.Failed() {
+		t.Log(log.String())
 	}
 }
 
--- a/targets/answer.go
+++ b/targets/answer.go
@@ -7,6 +7,7 @@
 	"github.com/valyala/fasthttp"
 
 	"medlaryard.example/medlaryard/meter"
+	"medlaryard.example/medlaryard/readbudget"
 )
 
 // handleBodyWritten records that a large body was written completely.
@@ -33,7 +34,7 @@
 
 func (c *Call) release() {
 	if c.response != nil {
-		fasthttp.ReleaseResponse(c.response)
+		readbudget.Release(c.response, nil)
 		c.response = nil
 	}
 }
@@ -51,7 +52,7 @@
 			g.closeConn(conn)
 		}
 		g.mu.Unlock()
-		fasthttp.ReleaseResponse(resp)
+		readbudget.Release(resp, nil)
 		return false
 	}
 	outcome, match := g.protocol.Classify(resp, c.req)
@@ -59,12 +60,12 @@
 		meter.Count("target.answer.foreign", 1)
 		conn.desynchronized = true
 		g.mu.Unlock()
-		fasthttp.ReleaseResponse(resp)
+		readbudget.Release(resp, nil)
 		return true
 	}
 	if match == Unidentified && conn.identified {
 		g.mu.Unlock()
-		fasthttp.ReleaseResponse(resp)
+		readbudget.Release(resp, nil)
 		g.handleDisconnect(conn, errUnidentified)
 		return false
 	}
--- a/targets/conn.go
+++ b/targets/conn.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"medlaryard.example/medlaryard/readbudget"
 )
 
 const (
@@ -33,7 +35,7 @@
 	target *Target
 	number int // Distinguishes the connections of a group in logs.
 	r      *bufio.Reader
-	limits *budgetReader // Below r.
+	limits *readbudget.Reader // Below r.
 
 	// The group's lock guards the fields below.
 	call           *Call
@@ -47,16 +49,16 @@
 }
 
 func newConn(t *Target, nc net.Conn, now time.Time) *conn {
-	limits := &budgetReader{Reader: nc, budget: t.group.readBudget}
+	limits := readbudget.NewReader(nc, t.group.readBudget)
 	return &conn{Conn: nc, target: t, r: bufio.NewReaderSize(limits, readBufferBytes), limits: limits, idleSince: now}
 }
 
 // readResponses passes every answer to the group until the connection ends.
 func (c *conn) readResponses() {
 	g := c.target.group
-	defer c.limits.endAnswer()
+	defer c.limits.EndAnswer()
 	for {
-		c.limits.endAnswer()
+		c.limits.EndAnswer()
 		if _, err := c.r.Peek(1); err != nil {
 			g.handleDisconnect(c, err)
 			return
@@ -64,7 +66,7 @@
 		resp := fasthttp.AcquireResponse()
 		resp.SkipBody = g.expectsNoBody(c)
 		if err := resp.ReadLimitBody(c.r, maxAnswerBytes); err != nil {
-			fasthttp.ReleaseResponse(resp)
+			readbudget.Release(resp, err)
 			g.handleDisconnect(c, err)
 			return
 		}
--- a/targets/endless_test.go
+++ b/targets/endless_test.go
@@ -10,8 +10,11 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/valyala/fasthttp"
+
 	"medlaryard.example/medlaryard/clock"
 	"medlaryard.example/medlaryard/platform"
+	"medlaryard.example/medlaryard/readbudget"
 	"medlaryard.example/medlaryard/targets"
 )
 
@@ -83,7 +86,7 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				held := &heldBytes{}
-				budget := targets.NewReadBudget()
+				budget := readbudget.New()
 				var wg sync.WaitGroup
 				var groups []*targets.Group
 				for i := range targetCount {
@@ -123,3 +126,48 @@
 		})
 	}
 }
+
+// pooledBytes returns the size of the largest buffer in the pool of responses.
+func pooledBytes() int {
+	most := 0
+	for range 200 {
+		// Not released, so that each call takes another one from the pool.
+		most = max(most, cap(fasthttp.AcquireResponse().SwapBody(nil)))
+	}
+	return most
+}
+
+// Guards against a daemon that exceeds its memory because the pool of responses
+// keeps the memory of large answers and of answers without end.
+func TestMemoryOfLargeAnswersPooled(t *testing.T) {
+	const (
+		answerCount = 20
+		maxPooled   = 256 << 10
+	)
+	head := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: q\r\n%s: s.q\r\n", platform.HeaderRequestID, platform.HeaderStamp)
+	large := strings.Repeat("x", 2<<20)
+	for name, respond := range map[string]func(net.Conn){
+		"without end": endless(head+"Connection: close\r\n\r\n", "x"),
+		"broken off":  func(conn net.Conn) { _, _ = conn.Write([]byte(head + "Content-Length: 3000000\r\n\r\n" + large)) },
+		"complete": func(conn net.Conn) {
+			_, _ = fmt.Fprintf(conn, "%sContent-Length: %d\r\n\r\n%s", head, len(large), large)
+		},
+		"foreign": func(conn net.Conn) {
+			_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: other\r\nContent-Length: %d\r\n\r\n%s", platform.HeaderRequestID, len(large), large)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				for range answerCount {
+					g := newSingleGroup(targets.Dial(scriptedDial(respond)))
+					g.Abandon(ask(t, g), false)
+					g.Close()
+				}
+				time.Sleep(time.Minute)
+			})
+			if n := pooledBytes(); n > maxPooled {
+				t.Errorf("the pool keeps a buffer of %d bytes, want at most %d", n, maxPooled)
+			}
+		})
+	}
+}
--- a/targets/group.go
+++ b/targets/group.go
@@ -12,6 +12,7 @@
 
 	"medlaryard.example/medlaryard/clock"
 	"medlaryard.example/medlaryard/meter"
+	"medlaryard.example/medlaryard/readbudget"
 )
 
 const (
@@ -52,7 +53,7 @@
 	notices  *Notices
 	log      zerolog.Logger
 
-	readBudget *ReadBudget
+	readBudget *readbudget.Budget
 
 	mu          sync.Mutex
 	wg          sync.WaitGroup
@@ -82,7 +83,7 @@
 		g.reports = NewReports(g.clock)
 	}
 	if g.readBudget == nil {
-		g.readBudget = NewReadBudget()
+		g.readBudget = readbudget.New()
 	}
 	if g.notices == nil {
 		g.notices = NewNotices(g.clock)
--- a/targets/option.go
+++ b/targets/option.go
@@ -7,6 +7,7 @@
 	"github.com/rs/zerolog"
 
 	"medlaryard.example/medlaryard/clock"
+	"medlaryard.example/medlaryard/readbudget"
 )
 
 // Option sets one property of a Group.
@@ -40,7 +41,7 @@
 
 // ReadWithin sets the budget for reading answers, which the groups of a daemon
 // share.
-func ReadWithin(b *ReadBudget) Option { return func(g *Group) { g.readBudget = b } }
+func ReadWithin(b *readbudget.Budget) Option { return func(g *Group) { g.readBudget = b } }
 
 // Log sets the logger for state changes of targets.
 func Log(l zerolog.Logger) Option { return func(g *Group) { g.log = l } }
