searcher: bound the memory of replies that are being read

On the product's own interface (serve), each reply was bounded to 4 MB, but all together were not.

Cause: a limit for one connection where the memory belongs to the process. A body in chunks takes several times its size on the wire.

Change: the connections to all searchers share the read budget of the daemon, and large replies stay out of the pool of responses.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -21,6 +21,7 @@
 	"medlaryard.example/medlaryard/home"
 	"medlaryard.example/medlaryard/once"
 	"medlaryard.example/medlaryard/peer"
+	"medlaryard.example/medlaryard/readbudget"
 	"medlaryard.example/medlaryard/searcher"
 	"medlaryard.example/medlaryard/settings"
 	"medlaryard.example/medlaryard/store"
@@ -93,11 +94,12 @@
 	d.client = peer.NewClient(peerOptions...)
 	d.strikes = newStrikeBroadcast(d.client, d.others)
 	d.suspects = admission.NewSuspects(d.clk, d.strikes.enqueue)
+	budget := readbudget.New()
 	d.homes = home.NewSet(
 		home.WithLeaseEnd(func() time.Duration { return d.cell.LeaseEnd() }),
 		home.WithCrashHandler(d.suspects.RecordCrash),
 		home.WithTargetFactory(func(s *catalogue.Searcher) *searcher.Target {
-			return searcher.NewHTTPTarget(s, searcher.WithReplyLimit(cfg.SearcherReplyBytes()))
+			return searcher.NewHTTPTarget(s, searcher.WithReplyLimit(cfg.SearcherReplyBytes()), searcher.WithReadBudget(budget))
 		}),
 	)
 	d.suspectGate = admission.NewSuspectGate(d.suspects, d.homes.Do)
--- a/searcher/conn.go
+++ b/searcher/conn.go
@@ -7,24 +7,27 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"medlaryard.example/medlaryard/readbudget"
 )
 
 // conn is one keep-alive connection. It records whether any byte of the current
 // request was written, because the request cannot have run otherwise.
 type conn struct {
 	net.Conn
-	r     *bufio.Reader
-	w     *bufio.Writer
-	wrote atomic.Bool
-	epoch uint64 // pool.epoch at the time of the connect.
+	r      *bufio.Reader
+	limits *readbudget.Reader // Below r.
+	w      *bufio.Writer
+	wrote  atomic.Bool
+	epoch  uint64 // pool.epoch at the time of the connect.
 
 	used    bool     // An exchange has ended on it.
 	refused []string // Calls that were answered without a reply, by ID.
 }
 
-func newConn(nc net.Conn, epoch uint64) *conn {
-	c := &conn{Conn: nc, epoch: epoch}
-	c.r = bufio.NewReader(nc)
+func newConn(nc net.Conn, epoch uint64, b *readbudget.Budget) *conn {
+	c := &conn{Conn: nc, epoch: epoch, limits: readbudget.NewReader(nc, b)}
+	c.r = bufio.NewReader(c.limits)
 	c.w = bufio.NewWriter(writeTracker{c})
 	return c
 }
--- a/searcher/exchange.go
+++ b/searcher/exchange.go
@@ -10,6 +10,7 @@
 
 	"medlaryard.example/medlaryard/clock"
 	"medlaryard.example/medlaryard/meter"
+	"medlaryard.example/medlaryard/readbudget"
 	"medlaryard.example/medlaryard/refusal"
 )
 
@@ -50,18 +51,19 @@
 func (x *exchange) roundTrip() (reply Reply, failure *Failure, reuse bool) {
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
-	defer fasthttp.ReleaseResponse(resp)
+	var err error
+	defer func() { readbudget.Release(resp, err) }()
 	x.buildRequest(req)
-	if err := writeRequest(x.conn, req); err != nil {
+	if err = writeRequest(x.conn, req); err != nil {
 		return Reply{}, x.brokenFailure(err), false
 	}
 	stop := x.watchSilence()
-	_, err := x.conn.r.Peek(1)
+	_, err = x.conn.r.Peek(1)
 	stop()
 	if err != nil {
 		return Reply{}, x.brokenFailure(err), false
 	}
-	if err := resp.ReadLimitBody(x.conn.r, x.h.maxReplyBytes); err != nil {
+	if err = resp.ReadLimitBody(x.conn.r, x.h.maxReplyBytes); err != nil {
 		if x.ctx.Err() != nil {
 			return Reply{}, x.brokenFailure(err), false
 		}
--- a/searcher/http.go
+++ b/searcher/http.go
@@ -8,6 +8,7 @@
 
 	"medlaryard.example/medlaryard/catalogue"
 	"medlaryard.example/medlaryard/clock"
+	"medlaryard.example/medlaryard/readbudget"
 )
 
 const (
@@ -33,12 +34,17 @@
 // WithReplyLimit sets the maximum size of a search reply in bytes.
 func WithReplyLimit(n int) HTTPOption { return func(h *HTTP) { h.maxReplyBytes = n } }
 
+// WithReadBudget sets the budget for reading replies, which the adapters of a
+// daemon share; by default each has its own.
+func WithReadBudget(b *readbudget.Budget) HTTPOption { return func(h *HTTP) { h.readBudget = b } }
+
 // HTTP sends calls to one searcher over the HTTP/1.1 protocol.
 type HTTP struct {
 	address       string
 	clock         clock.Clock
 	dial          func(ctx context.Context, address string) (net.Conn, error)
 	maxReplyBytes int
+	readBudget    *readbudget.Budget
 	pool          *pool
 	lastBoot      atomic.Pointer[string] // From the last health reply; nil before the first.
 }
@@ -51,6 +57,7 @@
 		address:       address,
 		clock:         clock.System{},
 		maxReplyBytes: defaultMaxReplyBytes,
+		readBudget:    readbudget.New(),
 		dial: func(ctx context.Context, address string) (net.Conn, error) {
 			return dialer.DialContext(ctx, "tcp", address)
 		},
@@ -58,7 +65,7 @@
 	for _, opt := range opts {
 		opt(h)
 	}
-	h.pool = newPool(0, func(ctx context.Context) (net.Conn, error) { return h.dial(ctx, h.address) })
+	h.pool = newPool(0, h.readBudget, func(ctx context.Context) (net.Conn, error) { return h.dial(ctx, h.address) })
 	return h
 }
 
--- a/searcher/latecopy_test.go
+++ b/searcher/latecopy_test.go
@@ -53,8 +53,10 @@
 		second string
 		named  bool
 	}{
-		{"another call", "q2", true}, {"the same call", "q1", true},
-		{"another call, unnamed", "q2", false}, {"the same call, unnamed", "q1", false},
+		{"another call", "q2", true},
+		{"the same call", "q1", true},
+		{"another call, unnamed", "q2", false},
+		{"the same call, unnamed", "q1", false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			l, err := net.Listen("tcp4", "127.0.0.1:0")
--- a/searcher/pool.go
+++ b/searcher/pool.go
@@ -8,6 +8,7 @@
 
 	"medlaryard.example/medlaryard/invariant"
 	"medlaryard.example/medlaryard/meter"
+	"medlaryard.example/medlaryard/readbudget"
 )
 
 // connectionCap is the invariant that a pool opens no connection beyond its
@@ -18,7 +19,8 @@
 
 // pool manages the connections to one searcher.
 type pool struct {
-	dial func(ctx context.Context) (net.Conn, error)
+	dial   func(ctx context.Context) (net.Conn, error)
+	budget *readbudget.Budget
 
 	mu     sync.Mutex
 	limit  int
@@ -30,8 +32,8 @@
 	closed bool
 }
 
-func newPool(limit int, dial func(ctx context.Context) (net.Conn, error)) *pool {
-	return &pool{dial: dial, limit: limit, busy: make(map[*conn]struct{}), freed: make(chan struct{})}
+func newPool(limit int, b *readbudget.Budget, dial func(ctx context.Context) (net.Conn, error)) *pool {
+	return &pool{dial: dial, budget: b, limit: limit, busy: make(map[*conn]struct{}), freed: make(chan struct{})}
 }
 
 // get returns an idle connection that may carry the call with the given ID, or
@@ -93,7 +95,7 @@
 		p.wakeLocked()
 		return nil, err
 	}
-	c := newConn(nc, p.epoch)
+	c := newConn(nc, p.epoch, p.budget)
 	p.busy[c] = struct{}{}
 	return c, nil
 }
@@ -101,6 +103,7 @@
 // put returns a connection to the pool. The caller sets reuse only if the
 // connection is known to be open and has no reply outstanding.
 func (p *pool) put(c *conn, reuse bool) {
+	c.limits.EndAnswer()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	delete(p.busy, c)
