targets: close a connection on which unasked bytes begin to arrive

What callers saw: nothing yet; found while looking at bytes without end. A target that trickles bytes on an idle connection blocks the next request that is sent there until its end, with 502 or 504 for one that may run once.

Cause: the reader of an idle connection read the unasked answer to its end before the connection counted as unusable.

Change: the first byte that arrives without a request in flight closes the connection.

Measured: TestRequestBehindUnaskedBytes fails before the change and passes after it.

--- a/targets/answer.go
+++ b/targets/answer.go
@@ -47,12 +47,9 @@
 	now := g.clock.Now()
 	c := conn.call
 	if c == nil || conn.closed {
-		meter.Count("target.answer.unasked", 1)
-		if !conn.closed {
-			g.closeConn(conn)
-		}
 		g.mu.Unlock()
 		readbudget.Release(resp, nil)
+		g.closeUnasked(conn)
 		return false
 	}
 	outcome, match := g.protocol.Classify(resp, c.req)
@@ -94,6 +91,17 @@
 	return open
 }
 
+// closeUnasked closes a connection on which bytes arrived although no request is in
+// flight. They may never end, and the next request would wait for their end.
+func (g *Group) closeUnasked(c *conn) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	meter.Count("target.answer.unasked", 1)
+	if !c.closed {
+		g.closeConn(c)
+	}
+}
+
 // errUnidentified ends a connection on which an answer names no request although
 // an earlier one did: it may be a late copy of any earlier answer.
 var errUnidentified = errors.New("answer names no request")
--- a/targets/broken_test.go
+++ b/targets/broken_test.go
@@ -146,6 +146,39 @@
 	}
 }
 
+// Guards against a request that is sent on a connection on which unasked bytes have
+// begun to arrive, and waits for their end.
+func TestRequestBehindUnaskedBytes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newSingleGroup(targets.Dial(func(context.Context, string) (net.Conn, error) {
+			client, server := net.Pipe()
+			go func() {
+				defer server.Close()
+				var req fasthttp.Request
+				r := bufio.NewReader(server)
+				if req.Read(r) != nil {
+					return
+				}
+				_, _ = fmt.Fprintf(server, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: s\r\nContent-Length: 0\r\n\r\n",
+					platform.HeaderRequestID, req.Header.Peek(platform.HeaderRequestID), platform.HeaderStamp)
+				time.Sleep(10 * time.Millisecond)
+				for _, err := server.Write([]byte("HTTP/1.1 200 OK\r\n")); err == nil; time.Sleep(10 * time.Millisecond) {
+					_, err = server.Write([]byte("X-Header: value\r\n"))
+				}
+			}()
+			return client, nil
+		}))
+		for _, id := range []string{"a", "b", "c"} {
+			if got := askAs(t, g, id); got.Outcome() != targets.Answered {
+				t.Errorf("request %s: %s, %s; want an answer on a new connection", id, got.Outcome(), got.Reason())
+			}
+			time.Sleep(25 * time.Millisecond)
+		}
+		g.Close()
+		time.Sleep(time.Minute)
+	})
+}
+
 // Guards against bytes of a target that end the daemon, block a request, or count
 // as a success although they hold no signed answer to it.
 func FuzzMalformedAnswer(f *testing.F) {
--- a/targets/conn.go
+++ b/targets/conn.go
@@ -63,8 +63,13 @@
 			g.handleDisconnect(c, err)
 			return
 		}
+		expected, noBody := g.expectsAnswer(c)
+		if !expected {
+			g.closeUnasked(c)
+			return
+		}
 		resp := fasthttp.AcquireResponse()
-		resp.SkipBody = g.expectsNoBody(c)
+		resp.SkipBody = noBody
 		if err := resp.ReadLimitBody(c.r, maxAnswerBytes); err != nil {
 			readbudget.Release(resp, err)
 			g.handleDisconnect(c, err)
--- a/targets/group.go
+++ b/targets/group.go
@@ -185,12 +185,12 @@
 	return false
 }
 
-// expectsNoBody reports whether the request in flight on c is a HEAD request,
-// whose answer has no body.
-func (g *Group) expectsNoBody(c *conn) bool {
+// expectsAnswer reports whether a request is in flight on c, and whether it is a
+// HEAD request, whose answer has no body.
+func (g *Group) expectsAnswer(c *conn) (expected, noBody bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return c.call != nil && c.call.req.method == fasthttp.MethodHead
+	return c.call != nil, c.call != nil && c.call.req.method == fasthttp.MethodHead
 }
 
 // Close closes all connections and waits for their goroutines.
