--- a/node/notices.go
+++ b/node/notices.go
@@ -9,8 +9,8 @@
 	"medlaryard.example/medlaryard/targets"
 )
 
-// targetNotices returns what this daemon has recently learned of targets from
-// themselves, for its heartbeats.
+// targetNotices returns what targets have recently stated to this daemon, and which
+// of them it has seen restart, for its heartbeats.
 func (d *Daemon) targetNotices() []*mirrorpb.TargetNotice { return encodeNotices(d.notices.Recent()) }
 
 // maxGreetingNotices is the number of notices in one heartbeat to a daemon that
