query: send a request that may run once to each target once

Change: a request that may run once goes to each target once. When all have refused it, the caller gets 503 at once and may come back. Idempotent requests, which may run more often, still go to a target again on another connection.

--- a/query/latecopy_test.go
+++ b/query/latecopy_test.go
@@ -18,17 +18,20 @@
 // that it has not run (REFUSED).
 func TestLateCopyOfRefusalHidesRun(t *testing.T) {
 	single := []route.Option{route.MaxTargets(2), route.Timeout(1500 * time.Millisecond), route.Objective(objective), route.Split([]string{"shard0"}, []float64{1})}
+	once := route.New("play", "songs.example", "/match/", single...)
 	for _, kind := range []struct {
-		name  string
-		route *route.Route // Nil for the sharded route of the cluster.
+		name   string
+		route  *route.Route // Nil for the sharded route of the cluster.
+		copies []shards.Option
 	}{
-		{"once", route.New("play", "songs.example", "/match/", single...)},
-		{"idempotent", route.New("find", "songs.example", "/match/", append(single, route.Idempotent())...)},
-		{"sharded", nil},
+		{"once", once, nil},
+		{"once, copies on other connections", once, []shards.Option{shards.CopiesAcross()}},
+		{"idempotent", route.New("find", "songs.example", "/match/", append(single, route.Idempotent())...), nil},
+		{"sharded", nil, nil},
 	} {
 		t.Run(kind.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				b := behaviour(shards.Shedding(0.6), shards.LateCopies(0.5))
+				b := behaviour(shards.Shedding(0.6), shards.LateCopies(0.5)).With(kind.copies...)
 				c := newTestCluster(t, 7, 1, b)
 				defer c.close()
 				c.groups["shard0"].Resize(targets.NewGroupLimits(3, targets.ColdLimits{}, targets.NewBudgetLimits(2, 1000, 1), true))
--- a/query/run.go
+++ b/query/run.go
@@ -49,7 +49,9 @@
 const maxRefused = 2
 
 // attempt submits a call of the part and reports whether it was accepted. A
-// hedge runs in parallel with an earlier call.
+// hedge runs in parallel with an earlier call. A request that may run once goes to
+// each target once: a late second copy of a refusal, on any connection, could not
+// be told from the answer to another send, and the request may run then.
 func (r *run) attempt(p *part, tag int, now time.Time, hedge bool) bool {
 	if r.clock.Boot() >= r.request.Deadline() {
 		r.end = now // The VM was paused and the caller's deadline has passed.
@@ -69,7 +71,7 @@
 	}
 	p.budgetEarned = true
 	avoid := p.calls
-	if n := len(p.calls); n > 0 && p.mayRun == 0 {
+	if n := len(p.calls); n > 0 && p.mayRun == 0 && r.route.Idempotent() {
 		avoid = p.calls[n-1:] // A target that refused earlier may accept by now.
 		if p.calls[n-1].Outcome() == targets.NotSent {
 			avoid = nil
--- a/standin/shards/behaviour.go
+++ b/standin/shards/behaviour.go
@@ -18,6 +18,7 @@
 	droppedReplyShare    float64
 	duplicatedReplyShare float64
 	lateCopyShare        float64
+	copyAcross           bool
 	blackhole            bool
 	down                 bool
 	silent               bool
@@ -86,6 +87,10 @@
 // when the next request arrives on their connection.
 func LateCopies(share float64) Option { return func(b *Behaviour) { b.lateCopyShare = share } }
 
+// CopiesAcross makes LateCopies send the copy of an answer on whichever connection
+// its request arrives again.
+func CopiesAcross() Option { return func(b *Behaviour) { b.copyAcross = true } }
+
 // Blackhole makes the target neither reply nor complete new in-memory
 // connections. It closes no connection.
 func Blackhole() Option { return func(b *Behaviour) { b.blackhole = true } }
--- a/standin/shards/target.go
+++ b/standin/shards/target.go
@@ -35,7 +35,8 @@
 	crashes     int
 	peakConns   int // Maximum number of concurrent connections.
 	accepted    int
-	arrivals    []time.Time // Arrival times of requests for this target.
+	arrivals    []time.Time       // Arrival times of requests for this target.
+	copies      map[string]string // Second copies of answers, to be sent on any connection, by request ID.
 }
 
 var (
@@ -49,7 +50,7 @@
 	pauseOrigin := time.Now().Add(-time.Duration(rng.Int63n(int64(time.Hour))))
 	return &Target{
 		id: id, address: address, behaviour: b, rng: rng, pauseOrigin: pauseOrigin,
-		conns: make(map[net.Conn]struct{}), slots: make(chan struct{}, b.slots), runs: make(map[string]int),
+		conns: make(map[net.Conn]struct{}), slots: make(chan struct{}, b.slots), runs: make(map[string]int), copies: make(map[string]string),
 	}
 }
 
@@ -189,7 +190,7 @@
 		if err := req.Read(r); err != nil {
 			return
 		}
-		if !w.writeLateCopy() || !t.handle(w, &req) {
+		if !w.writeLateCopy(string(req.Header.Peek(platform.HeaderRequestID))) || !t.handle(w, &req) {
 			return
 		}
 	}
@@ -203,29 +204,46 @@
 	copy   string // Second copy of the previous answer, or "".
 }
 
-// writeLateCopy writes the second copy of the previous answer, if one is due. It
-// reports whether the connection is still open.
-func (w *answerWriter) writeLateCopy() bool {
+// writeLateCopy writes the second copy of an answer if one is due when the request
+// with the given ID arrives. It reports whether the connection is still open.
+func (w *answerWriter) writeLateCopy(id string) bool {
 	late := w.copy
 	w.copy = ""
+	t := w.target
+	t.mu.Lock()
+	if late == "" {
+		late = t.copies[id]
+		delete(t.copies, id)
+	}
+	t.mu.Unlock()
 	return late == "" || writeString(w.Conn, late)
 }
 
 // write writes an answer and draws whether a second copy of it follows late. It
 // reports whether the connection is still open.
-func (w *answerWriter) write(b Behaviour, answer string) bool {
+func (w *answerWriter) write(b Behaviour, id, answer string) bool {
 	if w.target.randomFault(b.lateCopyShare) {
-		w.copy = answer
+		if b.copyAcross {
+			w.target.keepCopy(id, answer)
+		} else {
+			w.copy = answer
+		}
 	}
 	return writeString(w.Conn, answer)
 }
 
+func (t *Target) keepCopy(id, answer string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.copies[id] = answer
+}
+
 // handle serves one request. It returns false if the connection must be closed.
 func (t *Target) handle(w *answerWriter, req *fasthttp.Request) bool {
 	id := string(req.Header.Peek(platform.HeaderRequestID))
 	b := t.currentBehaviour()
 	if want := string(req.Header.Peek(platform.HeaderExpect)); want != "" && want != t.id {
-		return w.write(b, fmt.Sprintf("HTTP/1.1 421 Misdirected Request\r\n%s: %s\r\n%s: %s\r\nContent-Length: 0\r\n\r\n",
+		return w.write(b, id, fmt.Sprintf("HTTP/1.1 421 Misdirected Request\r\n%s: %s\r\n%s: %s\r\nContent-Length: 0\r\n\r\n",
 			platform.HeaderInstance, t.id, platform.HeaderRequestID, id))
 	}
 	t.mu.Lock()
@@ -235,7 +253,7 @@
 		t.mu.Lock()
 		t.refused++
 		t.mu.Unlock()
-		return w.write(b, fmt.Sprintf("HTTP/1.1 503 Service Unavailable\r\n%s%s: %s\r\n%s: 1\r\nContent-Length: 0\r\n\r\n",
+		return w.write(b, id, fmt.Sprintf("HTTP/1.1 503 Service Unavailable\r\n%s%s: %s\r\n%s: 1\r\nContent-Length: 0\r\n\r\n",
 			b.header, platform.HeaderRequestID, id, platform.HeaderNotRun))
 	}
 	if b.crashText != "" && strings.Contains(string(req.RequestURI()), b.crashText) {
@@ -258,13 +276,13 @@
 		return false
 	}
 	if t.randomFault(b.failedShare) {
-		return w.write(b, formatResponse(b, 500, id, t.id, nil))
+		return w.write(b, id, formatResponse(b, 500, id, t.id, nil))
 	}
 	response := formatResponse(b, 200, id, t.id, Records(t.id, string(req.RequestURI())))
 	if t.randomFault(b.duplicatedReplyShare) {
 		response += response
 	}
-	return w.write(b, response)
+	return w.write(b, id, response)
 }
 
 // acquireSlot waits for a slot. It returns false at once if the queue is full.
