home: each send of a request has an ID of its own

Cause: all sends of a request had the request's ID.

Change: the second and later sends have a number at its end, so a reply always names one send. The searchers' connections need not remember refused calls any more. The stand-in counts the runs of all sends of a request together, as before.

Measured: TestSendsShareID fails before the change and passes after it.

--- a/home/attempt.go
+++ b/home/attempt.go
@@ -12,6 +12,7 @@
 	member    *member
 	sent      time.Duration
 	version   string
+	number    int  // Number of the send of the task, from 1.
 	firstSend bool // First send of the task.
 	usesToken bool // Spent a token of the extra budget.
 	hedge     bool // Sent while another attempt of the task was running.
--- a/home/dispatch.go
+++ b/home/dispatch.go
@@ -1,6 +1,7 @@
 package home
 
 import (
+	"strconv"
 	"time"
 
 	"medlaryard.example/medlaryard/invariant"
@@ -104,7 +105,7 @@
 	for _, c := range g.credits {
 		c.recordSend(m)
 	}
-	a := &attempt{task: t, member: m, sent: now, version: m.spec.Version(), firstSend: t.sends == 0, usesToken: usesToken, hedge: len(t.running) > 0}
+	a := &attempt{task: t, member: m, sent: now, version: m.spec.Version(), number: t.sends + 1, firstSend: t.sends == 0, usesToken: usesToken, hedge: len(t.running) > 0}
 	t.sends++
 	t.running = append(t.running, a)
 	if !t.hasTried(m) {
@@ -131,12 +132,22 @@
 	}
 }
 
+// sendID returns the identifier of the n-th send of a request. Each send has its
+// own, so that a late second copy of the reply to one is not taken for the reply to
+// another.
+func sendID(id string, n int) string {
+	if n == 1 {
+		return id
+	}
+	return id + "~" + strconv.Itoa(n)
+}
+
 // newCall returns the message to the searcher. Its deadline is at most the end
 // of the lease.
 func (g *group) newCall(a *attempt, end time.Duration) searcher.Call {
 	req := a.task.req
 	return searcher.NewCall(searcher.CallSpec{
-		ID:            req.ID(),
+		ID:            sendID(req.ID(), a.number),
 		Shard:         g.shard,
 		Route:         req.Route(),
 		Snapshot:      req.Snapshot(),
--- a/home/errors_test.go
+++ b/home/errors_test.go
@@ -1,6 +1,7 @@
 package home
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -99,3 +100,30 @@
 		t.Errorf("%d extra requests, the homes' part is %g", got, allowed)
 	}
 }
+
+// Guards against a late second copy of a refusal that is taken for the reply to
+// another send of the same request, because both have the same ID (REFUSED).
+func TestSendsShareID(t *testing.T) {
+	fx := newTwoReplicas(1, func(fx *fixture) {})
+	for _, name := range fx.names {
+		fx.fakes[name].errors = 0.6
+	}
+	for i := range 300 {
+		fx.send(0, shard.RequestSpec{ID: fmt.Sprint("q", i), Idempotent: true}, func(shard.Result) {})
+		fx.clk.run(10 * time.Millisecond)
+	}
+	sends := make(map[string]int)
+	for _, name := range fx.names {
+		for id, n := range fx.fakes[name].ids {
+			sends[id] += n
+		}
+	}
+	for id, n := range sends {
+		if n > 1 {
+			t.Errorf("%d calls have the ID %s", n, id)
+		}
+	}
+	if len(sends) <= 300 {
+		t.Errorf("%d sends of 300 requests, want more", len(sends))
+	}
+}
--- a/searcher/call.go
+++ b/searcher/call.go
@@ -9,7 +9,8 @@
 
 // CallSpec holds the values of a Call.
 type CallSpec struct {
-	// ID identifies the request in the reply and in a cancellation.
+	// ID identifies the call in the reply and in a cancellation. No other call to the
+	// searcher may have it.
 	ID string
 	// Shard is the name of the shard that must answer.
 	Shard string
--- a/searcher/conn.go
+++ b/searcher/conn.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"net"
-	"slices"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -21,8 +20,7 @@
 	wrote  atomic.Bool
 	epoch  uint64 // pool.epoch at the time of the connect.
 
-	used    bool     // An exchange has ended on it.
-	refused []string // Calls that were answered without a reply, by ID.
+	used bool // An exchange has ended on it.
 }
 
 func newConn(nc net.Conn, epoch uint64, b *readbudget.Budget) *conn {
@@ -43,16 +41,6 @@
 	return n, err
 }
 
-// maxRefused bounds conn.refused. A connection with more is not used again.
-const maxRefused = 64
-
-// mayCarry reports whether a call with the given ID may use the connection. A
-// call that was refused on it may not: a late second copy of the refusal names
-// the same call as the next reply.
-func (c *conn) mayCarry(id string) bool {
-	return len(c.refused) <= maxRefused && (id == "" || !slices.Contains(c.refused, id))
-}
-
 // expiredDeadline is in the past; setting it as a deadline interrupts reads and
 // writes in progress.
 var expiredDeadline = time.Unix(1, 0)
--- a/searcher/control.go
+++ b/searcher/control.go
@@ -36,7 +36,7 @@
 // controlRequest sends a health request or a cancellation and returns the body
 // of the reply. An empty id omits the X-Request-Id header.
 func (h *HTTP) controlRequest(ctx context.Context, fresh bool, method, path, id string) ([]byte, *Failure) {
-	c, err := h.pool.get(ctx, fresh, "")
+	c, err := h.pool.get(ctx, fresh)
 	if err != nil {
 		return nil, connectFailure(ctx, err)
 	}
--- a/searcher/exchange.go
+++ b/searcher/exchange.go
@@ -27,7 +27,7 @@
 // run returns only after a cancellation was sent to the searcher, so that the
 // searcher's slot is not counted as free too early.
 func (x *exchange) run() (Reply, *Failure) {
-	c, err := x.h.pool.get(x.ctx, false, x.call.ID())
+	c, err := x.h.pool.get(x.ctx, false)
 	if err != nil {
 		return Reply{}, connectFailure(x.ctx, err)
 	}
@@ -130,12 +130,10 @@
 // of an earlier one, and a call that it answers may run.
 func (x *exchange) checkID(id string) *Failure {
 	switch {
-	case id == x.call.ID():
-		x.conn.refused = append(x.conn.refused, id)
-	case id != "":
-		return badReply("reply has request id %.64q, want %q", id, x.call.ID())
-	case x.conn.used:
+	case id == "" && x.conn.used:
 		return badReply("reply names no request")
+	case id != "" && id != x.call.ID():
+		return badReply("reply has request id %.64q, want %q", id, x.call.ID())
 	}
 	return nil
 }
--- a/searcher/pool.go
+++ b/searcher/pool.go
@@ -36,12 +36,11 @@
 	return &pool{dial: dial, budget: b, limit: limit, busy: make(map[*conn]struct{}), freed: make(chan struct{})}
 }
 
-// get returns an idle connection that may carry the call with the given ID, or
-// opens one. If fresh is set, it always opens one. It waits while the limit is
-// reached.
-func (p *pool) get(ctx context.Context, fresh bool, id string) (*conn, error) {
+// get returns an idle connection or opens one. If fresh is set, it always opens
+// one. It waits while the limit is reached.
+func (p *pool) get(ctx context.Context, fresh bool) (*conn, error) {
 	for {
-		c, wait, err := p.reserve(fresh, id)
+		c, wait, err := p.reserve(fresh)
 		if err != nil || c != nil {
 			return c, err
 		}
@@ -58,7 +57,7 @@
 
 // reserve returns an idle connection, or a channel to wait on if the limit is
 // reached. It returns neither if it has reserved room for a new connection.
-func (p *pool) reserve(fresh bool, id string) (*conn, <-chan struct{}, error) {
+func (p *pool) reserve(fresh bool) (*conn, <-chan struct{}, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.closed {
@@ -67,7 +66,7 @@
 	for len(p.idle) > 0 && (!fresh || p.open >= p.limit) {
 		c := p.idle[len(p.idle)-1]
 		p.idle = p.idle[:len(p.idle)-1]
-		if !fresh && p.open <= p.limit && c.epoch == p.epoch && c.mayCarry(id) && c.isReusable() {
+		if !fresh && p.open <= p.limit && c.epoch == p.epoch && c.isReusable() {
 			p.busy[c] = struct{}{}
 			return c, nil, nil
 		}
--- a/standin/searchers/call.go
+++ b/standin/searchers/call.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"medlaryard.example/medlaryard/clock"
@@ -53,5 +54,16 @@
 	return c
 }
 
+// requestID returns the ID of the request that the call is a send of. Sends after
+// the first have a number at the end.
+func (c *call) requestID() string {
+	if i := strings.LastIndexByte(c.id, '~'); i >= 0 {
+		if _, err := strconv.Atoi(c.id[i+1:]); err == nil {
+			return c.id[:i]
+		}
+	}
+	return c.id
+}
+
 // cause returns why the context of the call was cancelled.
 func (c *call) cause() error { return context.Cause(c.ctx) }
--- a/standin/searchers/execute.go
+++ b/standin/searchers/execute.go
@@ -114,7 +114,7 @@
 	ratio := f.errorRatio(c.route, s.ranWithFaults, s.inFlight)
 	s.ranWithFaults++
 	if c.nonIdempotent {
-		s.record.Runs[c.id]++
+		s.record.Runs[c.requestID()]++
 	}
 	s.mu.Unlock()
 	if f.CrashMarker != "" && bytes.Contains(c.body, []byte(f.CrashMarker)) {
