targets: probe a target whose process may have restarted

It took silence for a restart only while the store was away, and a target whose connections broke for none.

Change: a target that takes connections again after silence, and one of whose connections none is left that was open before a break, is in doubt. It gets no requests until it has stated at its health path how long it is cold. Probes use a connection of their own, since their answer names no request. A probe without an answer within 400 ms counts as a restart; a refused one does not, as a cold target is not full. Probes count as requests to a cold target, so only the daemons that may send to it probe; the others wait for two heartbeats. An idle connection that closes because of its age raises no doubt. The age of entries no longer matters, and services without a limit for cold targets are not probed. The soak has such a limit.

Ruled out: to treat every break as a restart. A target whose connections break would be nearly unused for its warm-up (TestDoubtLasts).

Measured: without the change, TestRestartedTargetGetsUsualLoad fails after a short absence and after silence (200 requests within a second, bound 11), and passes with it. TestRestartAcrossDaemons: 7 and 18 daemons, probes included.

--- a/home/errors_test.go
+++ b/home/errors_test.go
@@ -104,7 +104,7 @@
 // Guards against a late second copy of a refusal that is taken for the reply to
 // another send of the same request, because both have the same ID (REFUSED).
 func TestSendsShareID(t *testing.T) {
-	fx := newTwoReplicas(1, func(fx *fixture) {})
+	fx := newTwoReplicas(1, func(*fixture) {})
 	for _, name := range fx.names {
 		fx.fakes[name].errors = 0.6
 	}
--- a/mirror/contact.go
+++ b/mirror/contact.go
@@ -34,14 +34,6 @@
 	c.last = max(c.last, at)
 }
 
-// Away reports whether no daemon has reached the store for so long that it counts
-// as an outage at the boot time now.
-func (c *Contact) Away(now time.Duration) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return now-c.last > minOutage
-}
-
 // OutageEnd returns the boot time at which the last outage ended. It returns
 // false if there was none.
 func (c *Contact) OutageEnd() (time.Duration, bool) {
--- a/mirror/contact_test.go
+++ b/mirror/contact_test.go
@@ -3,8 +3,6 @@
 import (
 	"testing"
 	"time"
-
-	"github.com/google/go-cmp/cmp"
 )
 
 // Guards against an outage that is seen in the loss of one daemon's contact, and
@@ -55,17 +53,3 @@
 		}
 	}
 }
-
-// Guards against entries that count as current although no daemon has reached the
-// store for long, and against an outage for a short loss of contact.
-func TestContactAway(t *testing.T) {
-	c := NewContact(10 * time.Second)
-	c.Record(20 * time.Second)
-	var got []bool
-	for _, after := range []time.Duration{0, minOutage, minOutage + 1} {
-		got = append(got, c.Away(20*time.Second+after))
-	}
-	if diff := cmp.Diff([]bool{false, false, true}, got); diff != "" {
-		t.Errorf("away at the contact, at the bound and after it (-want +got):\n%s", diff)
-	}
-}
--- a/node/apply.go
+++ b/node/apply.go
@@ -76,7 +76,7 @@
 func (d *Daemon) newGroup(service string) *targets.Group {
 	return targets.NewGroup(service, platform.TargetProtocol(),
 		targets.Clock(d.clock), targets.PreferDomain(d.settings.Domain()), targets.Log(d.log),
-		targets.OnCrash(d.engine.RecordCrash), targets.EntriesStale(d.entriesStale), targets.ReportTo(d.reports), targets.NoticesIn(d.notices), targets.ReadWithin(d.readBudget),
+		targets.OnCrash(d.engine.RecordCrash), targets.ReportTo(d.reports), targets.NoticesIn(d.notices), targets.ReadWithin(d.readBudget),
 		targets.Dial(func(ctx context.Context, address string) (net.Conn, error) {
 			return new(net.Dialer).DialContext(ctx, "tcp4", address)
 		}))
@@ -129,7 +129,7 @@
 	for name, g := range d.groups {
 		s := d.table.Service(name)
 		share := int(usableConnectionFraction * float64(s.MaxConnections()) / float64(n))
-		cold := targets.NewColdLimits(s.WarmUpRate(), d.settings.ColdOvershoot(), d.settings.ColdSlack(), n, index).WarmUp(s.WarmUp())
+		cold := targets.NewColdLimits(s.WarmUpRate(), d.settings.ColdOvershoot(), d.settings.ColdSlack(), n, index).WarmUp(s.WarmUp(), s.HealthPath())
 		g.Resize(targets.NewGroupLimits(share, cold, budget, d.usedServices[name] && preconnect))
 	}
 }
--- a/node/target_cache.go
+++ b/node/target_cache.go
@@ -14,14 +14,6 @@
 // two seconds of its end.
 const lapsedEntryTTL = 2300 * time.Millisecond
 
-// entriesStale reports whether entries of targets may be missing or outdated
-// because the store is away, or was until less than lapsedEntryTTL ago.
-func (d *Daemon) entriesStale() bool {
-	now := d.clock.Boot()
-	end, ended := d.follower.Contact().OutageEnd()
-	return d.follower.Contact().Away(now) || ended && now-end < lapsedEntryTTL
-}
-
 // targetCache holds the targets that the store lists and those whose entries may
 // have expired in an outage of the store.
 type targetCache struct {
--- a/route/service.go
+++ b/route/service.go
@@ -9,6 +9,7 @@
 	maxConnections int
 	warmUp         time.Duration
 	warmUpRate     float64
+	healthPath     string
 }
 
 // NewService returns a service whose targets each accept maxConnections
@@ -19,6 +20,16 @@
 	return &Service{name: name, maxConnections: maxConnections, warmUp: warmUp, warmUpRate: warmUpRate}
 }
 
+// WithHealthPath sets the path at which a target states how long it is cold, and
+// returns s.
+func (s *Service) WithHealthPath(path string) *Service {
+	s.healthPath = path
+	return s
+}
+
+// HealthPath returns the path at which a target states how long it is cold, or "".
+func (s *Service) HealthPath() string { return s.healthPath }
+
 // Name returns the name of the service.
 func (s *Service) Name() string { return s.name }
 
--- a/standin/shards/target.go
+++ b/standin/shards/target.go
@@ -35,7 +35,9 @@
 	crashes     int
 	peakConns   int // Maximum number of concurrent connections.
 	accepted    int
-	arrivals    []time.Time       // Arrival times of requests for this target.
+	arrivals    []time.Time // Arrival times of requests for this target.
+	coldUntil   time.Time
+	probes      int
 	copies      map[string]string // Second copies of answers, to be sent on any connection, by request ID.
 }
 
@@ -54,6 +56,20 @@
 	}
 }
 
+// SetCold makes the target state for d that it is cold.
+func (t *Target) SetCold(d time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.coldUntil = time.Now().Add(d)
+}
+
+// Probes returns the number of requests to HealthPath.
+func (t *Target) Probes() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.probes
+}
+
 // SetBehaviour replaces the behaviour. If b is down, it closes all connections. The
 // number of slots stays as it was when the target was added.
 func (t *Target) SetBehaviour(b Behaviour) {
@@ -196,48 +212,6 @@
 	}
 }
 
-// answerWriter writes the answers of one connection and keeps the copies that
-// are sent late.
-type answerWriter struct {
-	net.Conn
-	target *Target
-	copy   string // Second copy of the previous answer, or "".
-}
-
-// writeLateCopy writes the second copy of an answer if one is due when the request
-// with the given ID arrives. It reports whether the connection is still open.
-func (w *answerWriter) writeLateCopy(id string) bool {
-	late := w.copy
-	w.copy = ""
-	t := w.target
-	t.mu.Lock()
-	if late == "" {
-		late = t.copies[id]
-		delete(t.copies, id)
-	}
-	t.mu.Unlock()
-	return late == "" || writeString(w.Conn, late)
-}
-
-// write writes an answer and draws whether a second copy of it follows late. It
-// reports whether the connection is still open.
-func (w *answerWriter) write(b Behaviour, id, answer string) bool {
-	if w.target.randomFault(b.lateCopyShare) {
-		if b.copyAcross {
-			w.target.keepCopy(id, answer)
-		} else {
-			w.copy = answer
-		}
-	}
-	return writeString(w.Conn, answer)
-}
-
-func (t *Target) keepCopy(id, answer string) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.copies[id] = answer
-}
-
 // handle serves one request. It returns false if the connection must be closed.
 func (t *Target) handle(w *answerWriter, req *fasthttp.Request) bool {
 	id := string(req.Header.Peek(platform.HeaderRequestID))
@@ -249,6 +223,9 @@
 	t.mu.Lock()
 	t.arrivals = append(t.arrivals, time.Now())
 	t.mu.Unlock()
+	if string(req.URI().Path()) == HealthPath {
+		return t.answerProbe(w, b)
+	}
 	if t.randomFault(b.refusedShare) || !t.acquireSlot(b) {
 		t.mu.Lock()
 		t.refused++
@@ -342,41 +319,3 @@
 	}
 	time.Sleep(d)
 }
-
-func writeString(conn net.Conn, s string) bool {
-	_, err := conn.Write([]byte(s))
-	return err == nil
-}
-
-// writeEndless writes an answer with the given begin of its head until the
-// connection is closed.
-func writeEndless(conn net.Conn, e Endlessness, head string) {
-	const blockSize = 32 << 10
-	begin, text := "", "x"
-	switch e {
-	case EndlessHead:
-		begin, text = head, "X-Header: value\r\n"
-	case EndlessBody:
-		begin = head + "Connection: close\r\n\r\n"
-	case EndlessChunk:
-		begin, text = head+"Transfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n"
-	case NoAnswer, Ends:
-	}
-	block := strings.Repeat(text, blockSize/len(text))
-	ok := writeString(conn, begin)
-	for ok {
-		ok = writeString(conn, block)
-	}
-}
-
-// formatResponse returns an HTTP response that carries the request id, the
-// target's stamp for it and the header fields of the behaviour.
-func formatResponse(b Behaviour, status int, id, target string, body []byte) string {
-	return fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", formatHead(b, status, id, target), len(body), body)
-}
-
-// formatHead returns the head of such a response without the length of its body.
-func formatHead(b Behaviour, status int, id, target string) string {
-	return fmt.Sprintf("HTTP/1.1 %d %s\r\n%s%s: %s\r\n%s: %s.%s\r\n",
-		status, fasthttp.StatusMessage(status), b.header, platform.HeaderRequestID, id, platform.HeaderStamp, target, id)
-}
--- a/standin/soak/faults.go
+++ b/standin/soak/faults.go
@@ -142,6 +142,7 @@
 		name := fmt.Sprintf("shard%d", i)
 		names = append(names, name)
 		cfg.Service(name, targetConnections)
+		cfg.WarmUp(time.Second, 40)
 	}
 	sharded := platformtest.Sharded(names, topRecords, float64(minShards)/shardCount)
 	cfg.Route("match", hostName, "/match/", routeTimeout, routeObjective, sharded)
--- a/targets/answer.go
+++ b/targets/answer.go
@@ -164,6 +164,9 @@
 		}
 		g.finish(c, now, Broken, err.Error())
 	}
+	if conn.used {
+		g.detectDoubt(conn, c, err, now)
+	}
 	if !conn.used && !t.removed {
 		// A target at its connection cap accepts a connection and resets it.
 		g.handleDialFailure(t, err)
--- a/targets/cold.go
+++ b/targets/cold.go
@@ -15,6 +15,7 @@
 	rate   float64
 	burst  float64
 	warmUp time.Duration // How long a target is cold after its start.
+	probe  string        // Path at which a target states how long it is cold; empty if none is known.
 }
 
 // NewColdLimits returns limits of rate requests per second to a cold target
@@ -26,9 +27,10 @@
 	return ColdLimits{division: newDivision(daemons, position), rate: rate, burst: (overshoot-coldMargin)*rate + slack}
 }
 
-// WarmUp returns the limits for targets that are cold for d after their start.
-func (l ColdLimits) WarmUp(d time.Duration) ColdLimits {
-	l.warmUp = d
+// WarmUp returns the limits for targets that are cold for d after their start, and
+// that state at the path probe how long they still are.
+func (l ColdLimits) WarmUp(d time.Duration, probe string) ColdLimits {
+	l.warmUp, l.probe = d, probe
 	return l
 }
 
--- a/targets/conn.go
+++ b/targets/conn.go
@@ -43,6 +43,7 @@
 	desynchronized bool // An answer to another request was read; not to be reused.
 	identified     bool // An answer on it named its request.
 	closed         bool // The group closed it and removed it from its target.
+	opened         time.Time
 	idleSince      time.Time
 	idleTimeout    time.Duration // The target's idle timeout, 0 if not stated.
 	used           bool          // A request was sent on it.
@@ -50,7 +51,7 @@
 
 func newConn(t *Target, nc net.Conn, now time.Time) *conn {
 	limits := readbudget.NewReader(nc, t.group.readBudget)
-	return &conn{Conn: nc, target: t, r: bufio.NewReaderSize(limits, readBufferBytes), limits: limits, idleSince: now}
+	return &conn{Conn: nc, target: t, r: bufio.NewReaderSize(limits, readBufferBytes), limits: limits, opened: now, idleSince: now}
 }
 
 // readResponses passes every answer to the group until the connection ends.
--- a/targets/connect.go
+++ b/targets/connect.go
@@ -89,14 +89,24 @@
 	g.wg.Add(1)
 	go func() {
 		defer g.wg.Done()
-		ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
-		defer cancel()
-		meter.Count("target.connections", 1)
-		nc, err := g.dial(ctx, t.address)
+		nc, err := g.open(t)
+		if err == nil && g.needsProbe(t) {
+			g.handleProbe(t, g.probe(t, nc))
+			_ = nc.Close() // Used for the probe only.
+			nc, err = g.open(t)
+		}
 		g.handleDialResult(t, nc, err)
 	}()
 }
 
+// open opens a connection to t.
+func (g *Group) open(t *Target) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
+	defer cancel()
+	meter.Count("target.connections", 1)
+	return g.dial(ctx, t.address)
+}
+
 func (g *Group) handleDialResult(t *Target, nc net.Conn, err error) {
 	g.mu.Lock()
 	now := g.clock.Now()
@@ -117,6 +127,9 @@
 	}
 	t.unreachable = false
 	g.detectRestart(t, now)
+	if t.doubt == unresolved && t.dialing == 0 {
+		g.connect(t) // The doubt arose after this connection was opened.
+	}
 	c := newConn(t, nc, now)
 	g.connections++
 	c.number = g.connections
@@ -139,6 +152,9 @@
 		meter.Count("target.connection.refused", 1)
 		t.dialFailures++
 		t.retryAt = g.clock.Now().Add(retryDelay(t.dialFailures))
+		if t.doubt == unresolved {
+			g.scheduleRetry(t)
+		}
 		return
 	}
 	meter.Count("target.unreachable", 1)
@@ -163,7 +179,8 @@
 	t.suspects = nil
 }
 
-// scheduleRetry connects to an unreachable target again after retryDelay.
+// scheduleRetry connects to a target that is unreachable or in doubt again after
+// retryDelay.
 func (g *Group) scheduleRetry(t *Target) {
 	if t.removed || g.closed || t.dialing > 0 {
 		return
@@ -171,7 +188,7 @@
 	g.clock.AfterFunc(retryDelay(t.dialFailures), func() {
 		g.mu.Lock()
 		defer g.mu.Unlock()
-		if t.unreachable && !t.removed && !g.closed && t.dialing == 0 {
+		if (t.unreachable || t.doubt == unresolved) && !t.removed && !g.closed && t.dialing == 0 {
 			g.connect(t)
 		}
 	})
--- a/targets/group.go
+++ b/targets/group.go
@@ -48,7 +48,6 @@
 	dial     func(ctx context.Context, address string) (net.Conn, error)
 	domain   string
 	onCrash  func(fingerprint uint64)
-	stale    func() bool
 	reports  *Reports
 	notices  *Notices
 	log      zerolog.Logger
@@ -72,7 +71,7 @@
 
 // NewGroup returns a group for a service, without targets.
 func NewGroup(service string, p Protocol, opts ...Option) *Group {
-	g := &Group{service: service, protocol: p, clock: clock.System{}, maxConns: 1, onCrash: func(uint64) {}, stale: func() bool { return false }, log: zerolog.Nop()}
+	g := &Group{service: service, protocol: p, clock: clock.System{}, maxConns: 1, onCrash: func(uint64) {}, log: zerolog.Nop()}
 	g.dial = func(ctx context.Context, address string) (net.Conn, error) {
 		return new(net.Dialer).DialContext(ctx, "tcp", address)
 	}
--- a/targets/limit.go
+++ b/targets/limit.go
@@ -65,6 +65,9 @@
 // allowance returns what the limits of t permit.
 func (g *Group) allowance(t *Target, now time.Time) allowance {
 	a := allowance{permitted: true, wait: g.notices.pause(t.fingerprint)}
+	if t.doubt != noDoubt {
+		a.wait = max(a.wait, probeWait)
+	}
 	if g.isCold(t, now) {
 		a.permitted = g.coldLimits.isSender(t.id, g.coldLimits.senderCount())
 		if a.permitted {
--- a/targets/option.go
+++ b/targets/option.go
@@ -29,10 +29,6 @@
 // that was in flight when a target crashed. It must not block.
 func OnCrash(f func(fingerprint uint64)) Option { return func(g *Group) { g.onCrash = f } }
 
-// EntriesStale sets a function that reports whether the entries of targets may be
-// outdated because the store cannot be reached. It must not block.
-func EntriesStale(f func() bool) Option { return func(g *Group) { g.stale = f } }
-
 // ReportTo sets the collection of failure reports for other daemons.
 func ReportTo(r *Reports) Option { return func(g *Group) { g.reports = r } }
 
--- a/targets/protocol.go
+++ b/targets/protocol.go
@@ -26,6 +26,12 @@
 	// Classify returns the outcome that an answer states, and to which request
 	// the answer belongs.
 	Classify func(resp *fasthttp.Response, req *Request) (Outcome, Match)
+	// AppendProbe appends the request to path by which the target with the given ID
+	// states how long it is cold. Host is its address.
+	AppendProbe func(dst []byte, path, host, id string) []byte
+	// ProbeAnswer returns how long the target with the given ID is cold according to
+	// the answer to a probe. It returns false if the answer does not state it.
+	ProbeAnswer func(resp *fasthttp.Response, id string) (coldFor time.Duration, ok bool)
 	// Notice returns what the target states about itself in an answer.
 	Notice func(resp *fasthttp.Response) Notice
 }
--- a/targets/restart.go
+++ b/targets/restart.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 	"syscall"
 	"time"
 
@@ -34,24 +35,94 @@
 	return silent
 }
 
-// restarted reports whether a target that takes connections again counts as
-// restarted. After silence that is only assumed while its entry may be outdated;
-// otherwise a new entry would show it.
-func (a absence) restarted(entriesStale bool) bool {
-	return a == stopped || a == silent && entriesStale
+// A restart under the same ID shows in a target's entry too, but only once the
+// store has passed it on. Until then, the target's connections show it:
+//
+//   - If the VM has refused connections, the process that takes them again is
+//     another one, which is cold.
+//   - If nothing has answered, or if all connections have broken, the process may be
+//     another one. The target is in doubt: it gets no requests until its answer to
+//     a probe states how long it is cold. Probes count as requests to a cold target,
+//     so only the daemons that may send to it then send them. The others wait for
+//     what these pass on.
+
+// doubt is whether the process of a target may be another one than before.
+type doubt int
+
+const (
+	noDoubt doubt = iota
+	// unresolved means that the next connection is used for a probe.
+	unresolved
+	// held means that another daemon probes the target.
+	held
+)
+
+// holdTime is how long a target is in doubt that other daemons probe. It spans two
+// heartbeats.
+const holdTime = 600 * time.Millisecond
+
+// putInDoubt puts t in doubt until this daemon or another one has probed it.
+func (g *Group) putInDoubt(t *Target) {
+	if g.coldLimits.isSender(t.id, g.coldLimits.senderCount()) {
+		t.doubt = unresolved
+		return
+	}
+	if t.doubt == held {
+		return
+	}
+	t.doubt = held
+	g.clock.AfterFunc(holdTime, func() {
+		g.mu.Lock()
+		if t.doubt == held {
+			t.doubt = noDoubt
+		}
+		g.unlockAndSend(g.clock.Now())
+	})
 }
 
-// detectRestart limits a target that takes connections again like a cold one if
-// its process has restarted. A restart under the same ID shows in the target's
-// entry too, but only once the store has passed it on.
+// detectRestart limits a target that takes a connection again like a cold one if
+// its VM has refused connections before.
 func (g *Group) detectRestart(t *Target, now time.Time) {
-	a := t.absence
+	if t.absence == stopped {
+		t.doubt = noDoubt
+		g.recordRestart(t, now, g.coldLimits.warmUp)
+	}
 	t.absence = listening
-	coldFor := g.coldLimits.warmUp
-	if coldFor == 0 || !a.restarted(g.stale()) {
+}
+
+// recordRestart limits a target that has restarted like a cold one.
+func (g *Group) recordRestart(t *Target, now time.Time, coldFor time.Duration) {
+	if coldFor <= 0 || g.coldLimits.rate == 0 {
 		return
 	}
 	meter.Count("target.restarted", 1)
 	g.log.Info().Str("service", g.service).Str("target", t.id).Dur("cold_for", coldFor).Msg("target has restarted")
 	g.notices.recordRestart(t.fingerprint, now.Add(coldFor))
 }
+
+// maxIdleClose is shorter than any idle timeout of a target. An idle connection that
+// closes sooner has not closed because of it.
+const maxIdleClose = 250 * time.Millisecond
+
+// detectDoubt puts a target in doubt whose connection c has broken, if no connection
+// remains that was open before. The call is the one in flight on c, or nil. An idle
+// connection may close because of its age; that raises no doubt.
+func (g *Group) detectDoubt(c *conn, call *Call, err error, now time.Time) {
+	t := c.target
+	first := now.Sub(t.lastBreak) > crashWindow
+	if first && call == nil && now.Sub(c.idleSince) >= maxIdleClose && !errors.Is(err, syscall.ECONNRESET) {
+		return
+	}
+	if first {
+		t.firstBreak = now
+	}
+	t.lastBreak = now
+	survives := func(c *conn) bool { return c.opened.Before(t.firstBreak) }
+	if !g.canProbe() || t.removed || slices.ContainsFunc(t.conns, survives) {
+		return
+	}
+	g.putInDoubt(t)
+	if t.doubt == unresolved && t.dialing == 0 && !g.closed {
+		g.connect(t)
+	}
+}
--- a/targets/restart_test.go
+++ b/targets/restart_test.go
@@ -14,7 +14,7 @@
 	"medlaryard.example/medlaryard/targets"
 )
 
-// restartFixture has three daemons that share the load of one target.
+// restartFixture has daemons that share the load of one target.
 type restartFixture struct {
 	emulator *shards.Emulator
 	target   *shards.Target
@@ -31,16 +31,15 @@
 )
 
 // newRestartFixture starts the daemons. The entry of the target stays as it is,
-// as in an outage of the store; stale reports whether the daemons know that.
-func newRestartFixture(stale bool) *restartFixture {
+// as in an outage of the store. Rate is the limit of a cold target, 0 for none.
+func newRestartFixture(daemons int, rate float64) *restartFixture {
 	f := &restartFixture{emulator: shards.New(1), latency: targets.NewLatencyEstimator(100 * time.Millisecond), results: make(chan *targets.Call, 100000)}
 	f.target = f.emulator.Add("t0", behaviour(shards.MaxConnections(100)))
-	for position := range 3 {
+	for position := range daemons {
 		n := targets.NewNotices(clock.System{})
-		g := targets.NewGroup("s", platform.TargetProtocol(), targets.Dial(f.emulator.Dial), targets.NoticesIn(n),
-			targets.EntriesStale(func() bool { return stale }))
-		limits := targets.NewColdLimits(restartRate, coldOvershoot, coldSlack, 3, position).WarmUp(restartWarmUp)
-		g.Resize(targets.NewGroupLimits(4, limits, targets.NewBudgetLimits(0.2, 54, 3), true))
+		g := targets.NewGroup("s", platform.TargetProtocol(), targets.Dial(f.emulator.Dial), targets.NoticesIn(n))
+		limits := targets.NewColdLimits(rate, coldOvershoot, coldSlack, daemons, position).WarmUp(restartWarmUp, shards.HealthPath)
+		g.Resize(targets.NewGroupLimits(4, limits, targets.NewBudgetLimits(0.2, 54, daemons), true))
 		g.Update(f.entries())
 		f.groups, f.notices = append(f.groups, g), append(f.notices, n)
 	}
@@ -59,6 +58,17 @@
 	time.Sleep(time.Minute)
 }
 
+// exchange passes on what each daemon knows of the target, as heartbeats do.
+func (f *restartFixture) exchange() {
+	for i, n := range f.notices {
+		for j, other := range f.notices {
+			if i != j {
+				other.Merge(n.Recent())
+			}
+		}
+	}
+}
+
 // load sends 200 requests a second for d. Their callers wait for 400 ms.
 func (f *restartFixture) load(d time.Duration) {
 	for began := time.Now(); time.Since(began) < d; time.Sleep(5 * time.Millisecond) {
@@ -72,33 +82,42 @@
 }
 
 // Guards against a target that restarts under its ID while the store is away and
-// gets its usual load although it is cold (FAILBACK).
+// gets its usual load although it is cold (FAILBACK), and against one that is
+// limited although it was only cut off or its connections broke.
 func TestRestartedTargetGetsUsualLoad(t *testing.T) {
 	const bound = restartRate*coldOvershoot + coldSlack
 	for _, c := range []struct {
-		name    string
-		absent  shards.Option
-		stale   bool
-		limited bool
+		name      string
+		behaviour shards.Option
+		absence   time.Duration
+		restarts  bool
 	}{
-		{"connections are refused", shards.Down(), false, true},
-		{"connections are refused, entries are stale", shards.Down(), true, true},
-		{"silent, entries are stale", shards.Blackhole(), true, true},
-		{"silent, entries are current", shards.Blackhole(), false, false},
+		{"connections are refused", shards.Down(), 1500 * time.Millisecond, true},
+		{"connections are refused for long", shards.Down(), 10 * time.Second, true},
+		{"silent", shards.Blackhole(), 1500 * time.Millisecond, true},
+		{"connections break", shards.Down(), 0, true},
+		{"not restarted, silent", shards.Blackhole(), 1500 * time.Millisecond, false},
+		{"not restarted, connections break", shards.Down(), 0, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				f := newRestartFixture(c.stale)
+				f := newRestartFixture(3, restartRate)
 				defer f.close()
 				f.load(2 * time.Second)
 				b := behaviour(shards.MaxConnections(100))
-				f.target.SetBehaviour(b.With(c.absent))
-				f.load(1500 * time.Millisecond)
+				f.target.SetBehaviour(b.With(c.behaviour))
+				f.load(c.absence)
+				if c.restarts {
+					f.target.SetCold(restartWarmUp)
+				}
 				f.target.SetBehaviour(b)
 				back := time.Now()
 				f.load(restartWarmUp)
-				if most := f.target.MaxArrivalsSince(back, time.Second); (float64(most) <= bound) != c.limited {
-					t.Errorf("at most %d requests within a second while cold, want within the bound of %v: %v", most, bound, c.limited)
+				if most := f.target.MaxArrivalsSince(back, time.Second); (float64(most) <= bound) != c.restarts {
+					t.Errorf("at most %d requests within a second, want within the bound of %v: %v", most, bound, c.restarts)
+				}
+				if n := f.target.Probes(); n > len(f.groups) {
+					t.Errorf("%d probes from %d daemons, want at most one from each", n, len(f.groups))
 				}
 				f.load(2 * time.Second)
 				warm := time.Now()
@@ -111,11 +130,92 @@
 	}
 }
 
+// Guards against a target that gets no requests for more than a moment because
+// connections to it broke.
+func TestDoubtLasts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newRestartFixture(3, restartRate)
+		defer f.close()
+		f.load(time.Second)
+		b := behaviour(shards.MaxConnections(100))
+		for range 20 {
+			f.target.SetBehaviour(b.With(shards.Down()))
+			f.target.SetBehaviour(b)
+			before := len(f.target.Runs())
+			f.load(250 * time.Millisecond)
+			if n := len(f.target.Runs()) - before; n < 30 {
+				t.Errorf("%d of 50 requests ran in the 250 ms after connections broke, want at least 30", n)
+			}
+		}
+	})
+}
+
+// Guards against more requests to a cold target than it bears, probes included, from
+// more daemons than may send to it, and against daemons that send it nothing once it
+// is known not to be cold.
+func TestRestartAcrossDaemons(t *testing.T) {
+	const bound = restartRate*coldOvershoot + coldSlack
+	for _, daemons := range []int{7, 18} {
+		for _, restarts := range []bool{true, false} {
+			t.Run(fmt.Sprintf("%d daemons, restarts %v", daemons, restarts), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					f := newRestartFixture(daemons, restartRate)
+					defer f.close()
+					f.load(2 * time.Second)
+					b := behaviour(shards.MaxConnections(100))
+					f.target.SetBehaviour(b.With(shards.Down()))
+					if restarts {
+						f.target.SetCold(restartWarmUp)
+					}
+					f.target.SetBehaviour(b)
+					back := time.Now()
+					for range 10 {
+						f.load(restartWarmUp / 10)
+						f.exchange()
+					}
+					if most := f.target.MaxArrivalsSince(back, time.Second); (float64(most) <= bound) != restarts {
+						t.Errorf("at most %d requests within a second, want within the bound of %v: %v", most, bound, restarts)
+					}
+					f.load(time.Second)
+					for i, g := range f.groups {
+						if !g.Reachable() || !g.Estimate(f.latency, 0).Available() {
+							t.Errorf("daemon %d sends nothing to the target that is warm", i)
+						}
+					}
+				})
+			})
+		}
+	}
+}
+
+// Guards against connections without end to a target in doubt whose service has no
+// limit for cold targets, so that no probe ends the doubt.
+func TestDoubtWithoutLimit(t *testing.T) {
+	for name, o := range map[string]shards.Option{"silent": shards.Blackhole(), "connections break": shards.Down()} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newRestartFixture(3, 0)
+				defer f.close()
+				f.load(time.Second)
+				b := behaviour(shards.MaxConnections(100))
+				f.target.SetBehaviour(b.With(o))
+				f.load(1500 * time.Millisecond)
+				f.target.SetBehaviour(b)
+				before := f.target.AcceptedConnections()
+				f.load(time.Second)
+				if n := f.target.AcceptedConnections() - before; n > 20 || f.target.Probes() > 0 {
+					t.Errorf("%d connections and %d probes from three daemons, want at most 20 and none", n, f.target.Probes())
+				}
+			})
+		})
+	}
+}
+
 // Guards against a daemon that sends its usual load to a cold target because only
 // the other daemons have seen the target restart.
 func TestRestartSeenByOtherDaemons(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := newRestartFixture(true)
+		f := newRestartFixture(3, restartRate)
 		defer f.close()
 		f.load(time.Second)
 		b := behaviour(shards.MaxConnections(100))
@@ -138,7 +238,7 @@
 		}
 		g := targets.NewGroup("s", platform.TargetProtocol(), targets.Dial(f.emulator.Dial), targets.NoticesIn(late))
 		defer g.Close()
-		g.Resize(targets.NewGroupLimits(4, targets.NewColdLimits(restartRate, coldOvershoot, coldSlack, 1, 0).WarmUp(restartWarmUp), targets.NewBudgetLimits(0.2, 54, 1), true))
+		g.Resize(targets.NewGroupLimits(4, targets.NewColdLimits(restartRate, coldOvershoot, coldSlack, 1, 0).WarmUp(restartWarmUp, shards.HealthPath), targets.NewBudgetLimits(0.2, 54, 1), true))
 		g.Update(f.entries())
 		time.Sleep(100 * time.Millisecond)
 		f.groups = []*targets.Group{g}
--- a/targets/target.go
+++ b/targets/target.go
@@ -65,6 +65,9 @@
 	retryAt       time.Time // When the next connection may be tried after a failure.
 	dialFailures  int       // Consecutive failed connection attempts.
 	absence       absence   // What the connection attempts since the last successful one show.
+	doubt         doubt     // Whether its process may have restarted.
+	firstBreak    time.Time // When the first of the connections that broke together did so.
+	lastBreak     time.Time // When the last of them did.
 
 	suspects []uint64  // Fingerprints of the requests on the connections that broke last.
 	brokenAt time.Time // When a connection broke last.
