targets: doubt about idle connections that close before their time

Cause: an idle connection that closed after 250 ms counted as closed for its age, also if the target states a longer idle timeout, and an unused one raised no doubt.

Change: the stated timeout decides. An unused connection counts too once it is older than 250 ms; a target at its cap resets new ones at once.

Measured: TestRestartWhileIdle; its case of a stated timeout fails before the change and passes after it.

--- a/targets/answer.go
+++ b/targets/answer.go
@@ -77,7 +77,7 @@
 	c.response = resp
 	reuse := conn.identified && !resp.ConnectionClose() && !conn.desynchronized && !conn.writing && conn.r.Buffered() == 0
 	if k := parseKeepAlive(string(resp.Header.Peek(fasthttp.HeaderKeepAlive))); k > 0 {
-		conn.idleTimeout = k
+		conn.idleTimeout, conn.target.idleTimeout = k, k
 	}
 	g.finish(c, now, outcome, "")
 	conn.idleSince = now
@@ -164,7 +164,7 @@
 		}
 		g.finish(c, now, Broken, err.Error())
 	}
-	if conn.used {
+	if conn.used || now.Sub(conn.opened) >= minIdleTimeout {
 		g.detectDoubt(conn, c, err, now)
 	}
 	if !conn.used && !t.removed {
--- a/targets/restart.go
+++ b/targets/restart.go
@@ -100,9 +100,17 @@
 	g.notices.recordRestart(t.fingerprint, now.Add(coldFor))
 }
 
-// maxIdleClose is shorter than any idle timeout of a target. An idle connection that
-// closes sooner has not closed because of it.
-const maxIdleClose = 250 * time.Millisecond
+// minIdleTimeout is shorter than any idle timeout of a target.
+const minIdleTimeout = 250 * time.Millisecond
+
+// mayHaveExpired reports whether the target may have closed the idle connection
+// because of its age.
+func (c *conn) mayHaveExpired(now time.Time) bool {
+	if timeout := max(c.idleTimeout, c.target.idleTimeout); timeout > 0 {
+		return now.Sub(c.idleSince) > timeout-keepAliveMargin
+	}
+	return now.Sub(c.idleSince) >= minIdleTimeout
+}
 
 // detectDoubt puts a target in doubt whose connection c has broken, if no connection
 // remains that was open before. The call is the one in flight on c, or nil. An idle
@@ -110,7 +118,7 @@
 func (g *Group) detectDoubt(c *conn, call *Call, err error, now time.Time) {
 	t := c.target
 	first := now.Sub(t.lastBreak) > crashWindow
-	if first && call == nil && now.Sub(c.idleSince) >= maxIdleClose && !errors.Is(err, syscall.ECONNRESET) {
+	if first && call == nil && c.mayHaveExpired(now) && !errors.Is(err, syscall.ECONNRESET) {
 		return
 	}
 	if first {
--- a/targets/restart_test.go
+++ b/targets/restart_test.go
@@ -130,6 +130,39 @@
 	}
 }
 
+// Guards against a restart that a daemon does not see because its connection was
+// idle, and against a probe each time a connection closes for its age.
+func TestRestartWhileIdle(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		idle   time.Duration
+		header []shards.Option
+		probes int
+	}{
+		{"closed before the stated timeout", 2 * time.Second, []shards.Option{shards.Header("Keep-Alive", "timeout=5")}, 1},
+		{"closed at the stated timeout", 5 * time.Second, []shards.Option{shards.Header("Keep-Alive", "timeout=5")}, 0},
+		{"closed soon", 100 * time.Millisecond, nil, 1},
+		{"closed late, no stated timeout", 2 * time.Second, nil, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newRestartFixture(1, restartRate)
+				defer f.close()
+				b := behaviour(shards.MaxConnections(100)).With(c.header...)
+				f.target.SetBehaviour(b)
+				f.load(10 * time.Millisecond)
+				time.Sleep(c.idle)
+				f.target.SetBehaviour(b.With(shards.Down()))
+				f.target.SetBehaviour(b)
+				time.Sleep(time.Second)
+				if n := f.target.Probes(); n != c.probes {
+					t.Errorf("%d probes, want %d", n, c.probes)
+				}
+			})
+		})
+	}
+}
+
 // Guards against a target that gets no requests for more than a moment because
 // connections to it broke.
 func TestDoubtLasts(t *testing.T) {
--- a/targets/target.go
+++ b/targets/target.go
@@ -61,13 +61,14 @@
 	calls         []*Call
 	removed       bool
 	unreachable   bool
-	addressReused bool      // Another target uses its address.
-	retryAt       time.Time // When the next connection may be tried after a failure.
-	dialFailures  int       // Consecutive failed connection attempts.
-	absence       absence   // What the connection attempts since the last successful one show.
-	doubt         doubt     // Whether its process may have restarted.
-	firstBreak    time.Time // When the first of the connections that broke together did so.
-	lastBreak     time.Time // When the last of them did.
+	addressReused bool          // Another target uses its address.
+	retryAt       time.Time     // When the next connection may be tried after a failure.
+	dialFailures  int           // Consecutive failed connection attempts.
+	absence       absence       // What the connection attempts since the last successful one show.
+	idleTimeout   time.Duration // The idle timeout that it stated last, 0 if none.
+	doubt         doubt         // Whether its process may have restarted.
+	firstBreak    time.Time     // When the first of the connections that broke together did so.
+	lastBreak     time.Time     // When the last of them did.
 
 	suspects []uint64  // Fingerprints of the requests on the connections that broke last.
 	brokenAt time.Time // When a connection broke last.
