targets: no doubt about a target that still answers on a connection

A target too busy to take another connection in time would have been probed, with no requests meanwhile, although it answered on those that it had.

Change: a failed connection attempt counts as absence only while no connection is left.

Measured: TestDoubtWhileConnected fails before the change (1 probe) and passes after it.

--- a/targets/connect.go
+++ b/targets/connect.go
@@ -112,7 +112,9 @@
 	now := g.clock.Now()
 	t.dialing--
 	if err != nil {
-		t.absence = max(t.absence, absenceOf(err))
+		if len(t.conns) == 0 { // Otherwise the process lives on.
+			t.absence = max(t.absence, absenceOf(err))
+		}
 		g.handleDialFailure(t, err)
 		g.unlockAndSend(now)
 		return
--- a/targets/restart_test.go
+++ b/targets/restart_test.go
@@ -1,7 +1,10 @@
 package targets_test
 
 import (
+	"context"
 	"fmt"
+	"net"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -163,6 +166,35 @@
 	}
 }
 
+// Guards against doubt about a target that is too busy to take another connection,
+// while it answers on those that it has.
+func TestDoubtWhileConnected(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newRestartFixture(1, restartRate)
+		defer f.close()
+		var busy atomic.Bool
+		g := targets.NewGroup("s", platform.TargetProtocol(), targets.Dial(func(ctx context.Context, address string) (net.Conn, error) {
+			if busy.Load() {
+				<-ctx.Done()
+				return nil, ctx.Err()
+			}
+			return f.emulator.Dial(ctx, address)
+		}))
+		g.Resize(targets.NewGroupLimits(4, targets.NewColdLimits(restartRate, coldOvershoot, coldSlack, 1, 0).WarmUp(restartWarmUp, shards.HealthPath), targets.NewBudgetLimits(0.2, 54, 1), true))
+		g.Update(f.entries())
+		f.groups[0].Close()
+		f.groups[0] = g
+		time.Sleep(100 * time.Millisecond)
+		busy.Store(true)
+		f.load(time.Second)
+		busy.Store(false)
+		f.load(2 * time.Second)
+		if n, opened := f.target.Probes(), f.target.AcceptedConnections(); n > 0 || opened < 3 {
+			t.Errorf("%d probes, %d connections opened, want none and at least 3", n, opened)
+		}
+	})
+}
+
 // Guards against a target that gets no requests for more than a moment because
 // connections to it broke.
 func TestDoubtLasts(t *testing.T) {
