targets: a young unused connection may be the last that breaks

Cause: a connection that was never used and is younger than 250 ms raised no doubt, since a target at its cap resets such ones. If it was the last of those that broke together, none of them raised doubt.

Change: it counts if another connection broke within the crash window before.

--- a/targets/answer.go
+++ b/targets/answer.go
@@ -164,7 +164,7 @@
 		}
 		g.finish(c, now, Broken, err.Error())
 	}
-	if conn.used || now.Sub(conn.opened) >= minIdleTimeout {
+	if conn.used || now.Sub(conn.opened) >= minIdleTimeout || t.breaking(now) {
 		g.detectDoubt(conn, c, err, now)
 	}
 	if !conn.used && !t.removed {
--- a/targets/restart.go
+++ b/targets/restart.go
@@ -112,12 +112,16 @@
 	return now.Sub(c.idleSince) >= minIdleTimeout
 }
 
+// breaking reports whether another connection broke so shortly before now that both
+// may have broken together.
+func (t *Target) breaking(now time.Time) bool { return now.Sub(t.lastBreak) <= crashWindow }
+
 // detectDoubt puts a target in doubt whose connection c has broken, if no connection
 // remains that was open before. The call is the one in flight on c, or nil. An idle
 // connection may close because of its age; that raises no doubt.
 func (g *Group) detectDoubt(c *conn, call *Call, err error, now time.Time) {
 	t := c.target
-	first := now.Sub(t.lastBreak) > crashWindow
+	first := !t.breaking(now)
 	if first && call == nil && c.mayHaveExpired(now) && !errors.Is(err, syscall.ECONNRESET) {
 		return
 	}
