standin/soak: measure the last request to a withdrawn target exactly

The check looked at whole seconds: a request between 2.0 and 3.0 s counted as one after 3.0 s, and after the limit it returned whether or not requests still came, so the figure says neither. It now takes the time of the last request itself. The bound is the same, and a request after it is a violation as before.

--- a/standin/shards/target.go
+++ b/standin/shards/target.go
@@ -119,6 +119,17 @@
 	return maxCount
 }
 
+// LastArrival returns when the last request arrived that counts for MaxArrivals, or
+// the zero time if there is none.
+func (t *Target) LastArrival() time.Time {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if len(t.arrivals) == 0 {
+		return time.Time{}
+	}
+	return t.arrivals[len(t.arrivals)-1]
+}
+
 // Refused returns the number of requests that the target refused.
 func (t *Target) Refused() int {
 	t.mu.Lock()
--- a/standin/soak/calm.go
+++ b/standin/soak/calm.go
@@ -51,7 +51,7 @@
 		{"a target without an entry", []*proxiedTarget{deleted}, within},
 		{"an evacuated failure domain", evacuated, within + evacuationExtra},
 	} {
-		last := waitUntilQuiet(c.targets, start.Add(c.within)).Sub(start)
+		last := lastRequest(c.targets, start, start.Add(c.within)).Sub(start)
 		if last > c.within {
 			violations = append(violations, fmt.Sprintf("requests reach %s after %v", c.what, last.Round(time.Millisecond)))
 		}
@@ -75,18 +75,20 @@
 	panic("no target " + id) // A mistake in this package.
 }
 
-// waitUntilQuiet waits until the targets get no requests for quietTime and
-// returns when that time began. It gives up at the first check after the limit.
-func waitUntilQuiet(ts []*proxiedTarget, limit time.Time) time.Time {
+// lastRequest returns when the targets got their last request, or start if they got
+// none since then. It waits until they have got none for quietTime, or until
+// quietTime after the limit.
+func lastRequest(ts []*proxiedTarget, start, limit time.Time) time.Time {
 	for {
-		began := time.Now()
-		time.Sleep(quietTime)
-		quiet := true
+		time.Sleep(quietTime / 10)
+		last := start
 		for _, t := range ts {
-			quiet = quiet && t.MaxArrivalsSince(began, time.Hour) == 0
+			if at := t.LastArrival(); at.After(last) {
+				last = at
+			}
 		}
-		if quiet || began.After(limit) {
-			return began
+		if now := time.Now(); now.Sub(last) >= quietTime || now.Sub(limit) >= quietTime {
+			return last
 		}
 	}
 }
