--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -23,6 +23,7 @@
 // cases are the cases by name. Each returns whether the rule was broken.
 var cases = map[string]func(rec *record, trouble bool) (bool, error){
 	"oversize": oversize,
+	"spoiled":  spoiled,
 }
 
 func main() { os.Exit(play()) }
