review: servers that only one machine learns of (case 8)

Cause: a server that registers between two pages of the watching machine's list enters its mirror under a version that the other machines already have. The event that follows changes nothing there, so the version is not raised and the others are never told.

Change: a case with a script, and nothing else; servers of the stand-in state their warm-up. review/8 shows that rule CONFIG is broken.

--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -22,6 +22,7 @@
 
 // cases are the cases by name. Each returns whether the rule was broken.
 var cases = map[string]func(rec *record, trouble bool) (bool, error){
+	"added":    added,
 	"oversize": oversize,
 	"spoiled":  spoiled,
 }
--- a/review/stand-2/oversize.go
+++ b/review/stand-2/oversize.go
@@ -38,7 +38,7 @@
 	var servers []*server
 	for n := range 4 {
 		s := newServer(l, n, "queue", 6, func(*http.Request) (time.Duration, int) { return 20 * time.Millisecond, answerBytes })
-		if err := s.start(); err != nil {
+		if err := s.start(0); err != nil {
 			return false, err
 		}
 		servers = append(servers, s)
--- a/review/stand-2/server.go
+++ b/review/stand-2/server.go
@@ -64,8 +64,16 @@
 	return s
 }
 
-// start opens the server's listener and registers the server in the store.
-func (s *server) start() error {
+const (
+	heartbeat = 1200 * time.Millisecond
+	// warmUp is how long servers are cold that start during traffic. The sheets and
+	// the configurations of the cases state no limit for cold servers.
+	warmUp = 3 * time.Second
+)
+
+// start opens the server's listener and registers the server in the store. One that
+// starts during traffic is cold and says in its heartbeats for how long.
+func (s *server) start(coldFor time.Duration) error {
 	address := s.address
 	if address == "" {
 		address = s.host + ":0"
@@ -79,11 +87,35 @@
 	s.address, s.web, s.born = nl.Addr().String(), web, time.Now()
 	s.mu.Unlock()
 	go func() { _ = web.Serve(nl) }() // Returns when the server ends.
+	s.register(coldFor)
+	go func() {
+		for coldFor > 0 {
+			time.Sleep(heartbeat)
+			if coldFor = max(coldFor-heartbeat, 0); !s.serves(web) {
+				return
+			}
+			s.register(coldFor)
+		}
+	}()
+	return nil
+}
+
+// register writes the server's entry. Heartbeats that change only the sequence are
+// left out, because they don't change the entry.
+func (s *server) register(coldFor time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.lab.store.Put(kindServers, s.id, serverSpec{
 		Service: s.service, Address: s.address, Zone: zone(int(s.id[len(s.id)-1])), Version: "v1",
-		Slots: cap(s.slots), State: "ready", Sequence: 1, Born: s.born.UnixMilli(),
+		Slots: cap(s.slots), State: "ready", WarmUpLeftMS: coldFor.Milliseconds(), Sequence: 1, Born: s.born.UnixMilli(),
 	})
-	return nil
+}
+
+// serves reports whether the server has not ended since it began to use web.
+func (s *server) serves(web *http.Server) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.web == web
 }
 
 // crash ends the server at once: its listener and all its connections.
--- a/review/stand-2/spoiled.go
+++ b/review/stand-2/spoiled.go
@@ -43,7 +43,7 @@
 			}
 			return writeChunked(w, version, s.id, id, b)
 		}
-		if err := s.start(); err != nil {
+		if err := s.start(0); err != nil {
 			return false, err
 		}
 	}
