review: a popular request refused as one that crashes targets (case 9)

Cause: a request that was in flight at two crashes counts as one that crashes targets. All daemons then refuse it for 10 minutes and never try it again.

--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -24,6 +24,7 @@
 var cases = map[string]func(rec *record, trouble bool) (bool, error){
 	"added":    added,
 	"oversize": oversize,
+	"popular":  popular,
 	"spoiled":  spoiled,
 }
 
