review: a move completed without a target of the new version (case 9)

Cause: a move is completed when its time is up unless a route looks worse, and a route without an answer of the new version cannot look worse. The old targets then stop, and the service has none.

--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -25,6 +25,7 @@
 	"added":    added,
 	"oversize": oversize,
 	"popular":  popular,
+	"rollout":  rollout,
 	"spoiled":  spoiled,
 }
 
--- a/review/stand-2/server.go
+++ b/review/stand-2/server.go
@@ -31,6 +31,7 @@
 	lab     *lab
 	id      string
 	service string
+	version string
 	host    string
 	address string
 	slots   chan struct{}
@@ -56,7 +57,7 @@
 
 func newServer(l *lab, n int, service string, slots int, work func(*http.Request) (time.Duration, int)) *server {
 	s := &server{
-		lab: l, id: fmt.Sprintf("i-%08x", 0x7f3a0000+n), service: service, host: l.host(100 + n),
+		lab: l, id: fmt.Sprintf("i-%08x", 0x7f3a0000+n), service: service, version: "v1", host: l.host(100 + n),
 		slots: make(chan struct{}, slots), queue: make(chan struct{}, slots+queueLength),
 		work: work,
 	}
@@ -106,7 +107,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.lab.store.Put(kindServers, s.id, serverSpec{
-		Service: s.service, Address: s.address, Zone: zone(int(s.id[len(s.id)-1])), Version: "v1",
+		Service: s.service, Address: s.address, Zone: zone(int(s.id[len(s.id)-1])), Version: s.version,
 		Slots: cap(s.slots), State: "ready", WarmUpLeftMS: coldFor.Milliseconds(), Sequence: 1, Born: s.born.UnixMilli(),
 	})
 }
