--- a/review/stand-2/lab.go
+++ b/review/stand-2/lab.go
@@ -76,10 +76,8 @@
 	}
 	l := &lab{rec: rec, dir: dir, ports: make(map[string]int), store: metastore.New(storePageSize), lists: listObserver{make(chan struct{}, 1)}}
 	l.prefix = fmt.Sprintf("127.%d.%d", 64+rand.IntN(128), 1+rand.IntN(250))
-	for _, name := range listeners {
-		if l.ports[name], err = freePort(l.host(1)); err != nil {
-			return nil, errors.Join(err, l.close())
-		}
+	if err := l.choosePorts(); err != nil {
+		return nil, errors.Join(err, l.close())
 	}
 	nl, err := net.Listen("tcp4", l.host(storeHost)+":0")
 	if err != nil {
@@ -101,6 +99,24 @@
 	os.Exit(unknown)
 }
 
+// choosePorts chooses a port for each listener of the daemons, all of them different.
+func (l *lab) choosePorts() error {
+	taken := make(map[int]bool)
+	for _, name := range listeners {
+		for {
+			port, err := freePort(l.host(1))
+			if err != nil {
+				return err
+			}
+			if !taken[port] {
+				taken[port], l.ports[name] = true, port
+				break
+			}
+		}
+	}
+	return nil
+}
+
 // freePort returns a port that is free for TCP and UDP at ip.
 func freePort(ip string) (int, error) {
 	for range 100 {
@@ -163,7 +179,8 @@
 	}
 	for _, d := range l.daemons {
 		if !d.waitReady(15 * time.Second) {
-			return fmt.Errorf("%s is not ready", d.name)
+			text, _ := os.ReadFile(filepath.Join(l.dir, d.name+".log")) // What there is of it.
+			return fmt.Errorf("%s is not ready, it runs: %t, its log: %s", d.name, d.alive(), text[max(0, len(text)-1000):])
 		}
 	}
 	return nil
