review: the scripts name the record that they write

Cause: run.sh left the name of record.txt to the stand-in, so neither it nor the claim named the file that the issue asks for.

--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -2,15 +2,14 @@
 // platform's store and servers on loopback addresses, sends requests and judges
 // what clients and servers have seen.
 //
-// It exits with 1 if the rule of the case was broken, with 0 if it held and with 2
-// if the case could not run. With TROUBLE=0 in the environment it does the same
-// without the disruption.
+// It writes what was sent, answered and run to the file RECORD. It exits with 1 if the
+// rule of the case was broken, with 0 if it held and with 2 if the case could not run.
+// With TROUBLE=0 in the environment it does the same without the disruption.
 package main
 
 import (
 	"fmt"
 	"os"
-	"path/filepath"
 )
 
 // Exit codes.
@@ -33,10 +32,10 @@
 
 func play() int {
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: stand-2 CASE FOLDER")
+		fmt.Fprintln(os.Stderr, "usage: stand-2 CASE RECORD")
 		return unknown
 	}
-	f, err := os.Create(filepath.Join(os.Args[2], "record.txt"))
+	f, err := os.Create(os.Args[2])
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return unknown
