--- a/clientbudget/budget.go
+++ b/clientbudget/budget.go
@@ -80,7 +80,10 @@
 	now := b.now()
 	if n := len(b.conns) - b.evicted - b.limits.connections + 1; n > 0 {
 		n += int(freeFraction * float64(b.limits.connections))
-		b.closeWorst(now, connections, func(*Conn) bool { n--; return n >= 0 })
+		order := b.closable(now)
+		for _, worst := range order[:min(n, len(order))] {
+			b.evict(worst, connections)
+		}
 	}
 	// Descriptors are free only when their connections are closed.
 	if float64(len(b.conns)) >= overshoot*float64(b.limits.connections) || len(b.conns)-b.evicted >= b.limits.connections {
@@ -141,18 +144,24 @@
 }
 
 // makeRoom closes connections until n more bytes are free. It returns false if
-// there are not enough whose clients are later than that of c.
+// there are not enough whose clients are later than that of c, and then closes none.
 func (b *Budget) makeRoom(c *Conn, n int64, now time.Duration) bool {
-	excess := b.held - b.closing + n - b.limits.bytes
-	if excess > 0 {
+	if excess := b.held - b.closing + n - b.limits.bytes; excess > 0 {
+		order := b.closable(now)
+		if i := slices.Index(order, c); i >= 0 {
+			order = order[:i]
+		}
+		if freed := heldBy(order); freed < excess {
+			return false
+		}
 		excess += int64(freeFraction * float64(b.limits.bytes))
-		b.closeWorst(now, memory, func(worst *Conn) bool {
-			if excess <= 0 || worst == c {
-				return false
+		for _, worst := range order {
+			if excess <= 0 {
+				break
 			}
 			excess -= worst.held
-			return true
-		})
+			b.evict(worst, memory)
+		}
 	}
 	bound := overshoot
 	if n <= smallBytes {
@@ -161,6 +170,14 @@
 	return b.held-b.closing+n <= b.limits.bytes && float64(b.held+n) <= bound*float64(b.limits.bytes)
 }
 
+func heldBy(conns []*Conn) int64 {
+	sum := int64(0)
+	for _, c := range conns {
+		sum += c.held
+	}
+	return sum
+}
+
 // Room returns how many more bytes may be held. If they are fewer than n, it closes
 // connections as for a client that needs n bytes.
 func (b *Budget) Room(n int) int {
@@ -170,26 +187,24 @@
 	return int(max(0, b.limits.bytes-b.held+b.closing))
 }
 
-// closeWorst closes connections in the order of their rank as long as more returns
-// true for the next one.
-func (b *Budget) closeWorst(now time.Duration, why reason, more func(*Conn) bool) {
+// closable returns the connections that may be closed, in the order of their rank.
+func (b *Budget) closable(now time.Duration) []*Conn {
 	type ranked struct {
 		conn *Conn
 		rank float64
 	}
 	var order []ranked
 	for c := range b.conns {
-		if r := c.rank(now); r > 0 && !c.evicted {
+		if r := c.rank(now); r > 0 && !c.evicted && !c.delivering(now) {
 			order = append(order, ranked{c, r})
 		}
 	}
 	slices.SortFunc(order, func(x, y ranked) int { return cmp.Compare(y.rank, x.rank) })
-	for _, o := range order {
-		if !more(o.conn) {
-			return
-		}
-		b.evict(o.conn, why)
+	conns := make([]*Conn, len(order))
+	for i, o := range order {
+		conns[i] = o.conn
 	}
+	return conns
 }
 
 // evict closes a connection. What it holds is released when its goroutine ends.
--- a/clientbudget/conn.go
+++ b/clientbudget/conn.go
@@ -5,7 +5,10 @@
 	"io"
 	"net"
 	"sync/atomic"
+	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 const (
@@ -194,6 +197,30 @@
 	return err
 }
 
+// delivering reports whether the system still holds a part of the last answer that
+// the client may be about to take. The caller holds the budget's lock.
+func (c *Conn) delivering(now time.Duration) bool {
+	return c.phase == idle && c.served > 0 && now-c.since < onceStall && c.unsent() > 0
+}
+
+// unsent returns the number of bytes that were written and that the client's system
+// has not acknowledged, or 0 if it is not known.
+func (c *Conn) unsent() int {
+	sc, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return 0
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return 0
+	}
+	n := 0
+	if raw.Control(func(fd uintptr) { n, err = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ) }) != nil || err != nil {
+		return 0
+	}
+	return n
+}
+
 // abort closes the connection at once and discards what its client has not taken.
 func (c *Conn) abort() {
 	if t, ok := c.Conn.(*net.TCPConn); ok {
--- a/clientbudget/request.go
+++ b/clientbudget/request.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"net/http"
 )
 
 var (
@@ -129,11 +130,14 @@
 	unknownBody = 4 << 10 // First buffer of a body without a length.
 )
 
-// ReadBody reads a whole body, whose length is negative if it is not known. It
-// never takes more than limit bytes, if limit is positive; the error for a body
-// that exceeds it comes from r. It fails with ErrExhausted if the budget has no
-// room. A nil Conn has no budget.
+// ReadBody reads a whole body, whose length is negative if it is not known. If limit
+// is positive, a longer body fails with an *http.MaxBytesError, before anything is
+// freed for it if its length is known, and otherwise with the error of r. ReadBody
+// fails with ErrExhausted if the budget has no room. A nil Conn has no budget.
 func (c *Conn) ReadBody(r io.Reader, length int64, limit int) ([]byte, error) {
+	if limit > 0 && length > int64(limit) {
+		return nil, &http.MaxBytesError{Limit: int64(limit)}
+	}
 	if err := c.admitBody(length); err != nil {
 		return nil, err
 	}
