clientbudget: a connection ends with the first piece of a head that is dropped

What clients could cause: a request of which a part had been dropped was parsed on. Bytes that a client sent as a body could run as a request (UNASKED), and a body of 256 KiB was parsed as one header line, copied and quoted in an error.

Cause: Conn.Read returned an error once the budget had no room for a piece of a head, but the connection stayed open and readable. bufio and textproto parse what they have before an error and then read again, so the request continued behind the lost piece.

Change: after the first such error, all reads of the connection fail.

Evidence: TestNothingIsReadAfterDroppedPiece reads a further piece on the code before and none now.

--- a/clientbudget/conn.go
+++ b/clientbudget/conn.go
@@ -33,6 +33,7 @@
 	budget    *Budget
 	headLimit func() int
 	inHead    atomic.Bool // A head is expected or being read.
+	failed    atomic.Bool // Bytes of a head were dropped, so nothing more may be read.
 
 	// The budget's lock guards the fields below.
 	usage
@@ -48,6 +49,9 @@
 // Read implements net.Conn. While a head is expected, it counts what the head will
 // hold once it is parsed, and ends a head that exceeds its limit.
 func (c *Conn) Read(p []byte) (int, error) {
+	if c.failed.Load() {
+		return 0, errClosed
+	}
 	n, err := c.Conn.Read(p)
 	if n == 0 {
 		return n, err
@@ -60,10 +64,14 @@
 		c.noteReceived(n, cost)
 		return n, err
 	}
-	switch c.readHead(p[:n], c.headLimit()) {
-	case none:
+	why := c.readHead(p[:n], c.headLimit())
+	if why == none {
 		return n, err
-	case headSize:
+	}
+	// Further reads would continue in the middle of the head: a server parses what it
+	// has read before the error, and then reads again.
+	c.failed.Store(true)
+	if why == headSize {
 		c.refuseHead()
 	}
 	return 0, errClosed
