clientbudget: allocations for clients wait while the heap is near its bound

What callers could see: clients that come back at once when they are closed took a node far beyond its machine, where the system ends it.

Cause: the budget counts what is in use. The garbage of closed clients was bounded only by the runtime, which spends at most half of its processor time on collections and then exceeds its soft limit. Answers of targets that were read one after the other had no bound either, since one answer is always read.

Change: a gate shared by all listeners. Accepted connections, pieces of heads above 4 KiB, buffers of bodies and large answers of targets wait until the heap, with its garbage and what was admitted but is not allocated yet, is below 0.4 (small ones 0.5) of the VM's memory. Who waits starts a collection; at most half of the time is spent in them. A 32nd of the memory, at least 2 MiB, is admitted after each one whatever is in use, so that requests are always served.

--- a/clientbudget/budget.go
+++ b/clientbudget/budget.go
@@ -40,6 +40,7 @@
 	log    zerolog.Logger
 	origin time.Time
 	accept *rate.Limiter
+	gate   *heapGate
 
 	mu       sync.Mutex
 	conns    map[*Conn]struct{}
@@ -58,6 +59,7 @@
 	return &Budget{
 		limits: l, clock: c, log: log, origin: c.Now(), loggedAt: -logInterval,
 		accept: rate.NewLimiter(rate.Limit(l.acceptRate), l.connections),
+		gate:   newHeapGate(l.memory, c),
 		conns:  make(map[*Conn]struct{}), closed: make(map[reason]int),
 	}
 }
@@ -187,6 +189,16 @@
 	return int(max(0, b.limits.bytes-b.held+b.closing))
 }
 
+// AdmitAllocation waits until the heap has room for n bytes that are allocated at once.
+// It returns false if there is none in time.
+func (b *Budget) AdmitAllocation(n int) bool {
+	if !b.gate.wait(int64(n), false) {
+		return false
+	}
+	b.gate.done(int64(n))
+	return true
+}
+
 // closable returns the connections that may be closed, in the order of their rank.
 func (b *Budget) closable(now time.Duration) []*Conn {
 	type ranked struct {
--- a/clientbudget/conn.go
+++ b/clientbudget/conn.go
@@ -32,8 +32,9 @@
 	net.Conn
 	budget    *Budget
 	headLimit func() int
-	inHead    atomic.Bool // A head is expected or being read.
-	failed    atomic.Bool // Bytes of a head were dropped, so nothing more may be read.
+	inHead    atomic.Bool  // A head is expected or being read.
+	failed    atomic.Bool  // Bytes of a head were dropped, so nothing more may be read.
+	admitted  atomic.Int64 // Admitted by the heap gate and not known to be allocated.
 
 	// The budget's lock guards the fields below.
 	usage
@@ -52,6 +53,7 @@
 	if c.failed.Load() {
 		return 0, errClosed
 	}
+	c.noteAllocated() // What was read before has been parsed.
 	n, err := c.Conn.Read(p)
 	if n == 0 {
 		return n, err
@@ -64,8 +66,8 @@
 		c.noteReceived(n, cost)
 		return n, err
 	}
-	why := c.readHead(p[:n], c.headLimit())
-	if why == none {
+	allocation, why := c.readHead(p[:n], c.headLimit())
+	if why == none && c.waitForHead(allocation) {
 		return n, err
 	}
 	// Further reads would continue in the middle of the head: a server parses what it
@@ -90,8 +92,12 @@
 	}
 }
 
-// readHead counts bytes of a head. It returns why the connection must end, or none.
-func (c *Conn) readHead(p []byte, limit int) reason {
+// allocationOfHead returns what is allocated to parse the same.
+func allocationOfHead(n, lines int) int64 { return int64(n + lines*lineAllocationBytes) }
+
+// readHead counts bytes of a head. It returns what is allocated to parse them, and why
+// the connection must end or none.
+func (c *Conn) readHead(p []byte, limit int) (int64, reason) {
 	b := c.budget
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -101,21 +107,47 @@
 		c.head = newHeadScan()
 	}
 	c.progress(len(p), now)
-	c.last = memoryOfHead(len(p), c.head.add(p))
+	lines := c.head.add(p)
+	c.last = memoryOfHead(len(p), lines)
 	if c.head.ended {
 		c.inHead.Store(false)
 	}
 	if c.head.bytes > limit+headSlack {
 		b.count(headSize)
-		return headSize
+		return 0, headSize
 	}
 	if !b.reserve(c, c.last, now) {
 		if !c.evicted {
 			b.count(memory)
 		}
-		return memory
+		return 0, memory
 	}
-	return none
+	return allocationOfHead(len(p), lines), none
+}
+
+// ungatedHead is the size up to which what is allocated for a piece of a head does not
+// wait, as that of nearly all requests.
+const ungatedHead = 4 << 10
+
+// waitForHead waits as waitForHeap does if a piece of a head takes much.
+func (c *Conn) waitForHead(n int64) bool { return n <= ungatedHead || c.waitForHeap(n) }
+
+// waitForHeap waits until the heap has room for n bytes that the budget has already
+// counted. It returns false if there is none in time, or if the budget has closed the
+// connection meanwhile. The wait does not count as the client's.
+func (c *Conn) waitForHeap(n int64) bool {
+	b := c.budget
+	room := b.gate.wait(n, n <= smallBytes)
+	if room {
+		c.admitted.Add(n)
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	c.progress(0, b.now())
+	if !room && !c.evicted {
+		b.count(memory)
+	}
+	return room && !c.evicted
 }
 
 // refuseHead answers a head that exceeds its limit and reads what still arrives for
@@ -130,6 +162,13 @@
 	_, _ = io.Copy(io.Discard, c.Conn) // Ends at the deadline or with the connection.
 }
 
+// noteAllocated tells the heap gate that what it has admitted is allocated.
+func (c *Conn) noteAllocated() {
+	if n := c.admitted.Swap(0); n != 0 {
+		c.budget.gate.done(n)
+	}
+}
+
 // Write implements net.Conn. It counts a large answer until the client has taken it.
 func (c *Conn) Write(p []byte) (int, error) {
 	if len(p) <= uncountedWrite {
@@ -201,6 +240,7 @@
 // Close implements net.Conn.
 func (c *Conn) Close() error {
 	err := c.Conn.Close()
+	c.noteAllocated()
 	c.budget.remove(c)
 	return err
 }
--- /dev/null
+++ b/clientbudget/heapgate.go
@@ -0,0 +1,159 @@
+package clientbudget
+
+import (
+	"context"
+	"runtime"
+	"runtime/metrics"
+	"sync"
+	"time"
+
+	"medlaryard.example/medlaryard/clock"
+)
+
+const (
+	// gateFraction is the fraction of the VM's memory that the heap, with its
+	// garbage, may take before requests that need much memory wait.
+	gateFraction = 0.4
+	// smallGateFraction is the same for connections and usual requests.
+	smallGateFraction = 0.5
+	// gateStepFraction is the fraction that may be allocated between two collections
+	// even if what is in use exceeds the bound, so that requests are always served.
+	gateStepFraction = 1.0 / 32
+	// minGateStep is the least value of the same. The largest body fits in it.
+	minGateStep = 2 << 20
+	// sampleInterval is the least time between readings of the heap's size.
+	sampleInterval = 5 * time.Millisecond
+	// maxGateWait bounds the wait of a request that needs much memory. A small
+	// allocation waits for one collection at most.
+	maxGateWait = time.Second
+)
+
+// heapGate delays allocations while the heap is near its bound. The budget counts
+// what is in use, but clients that return as soon as they are closed make garbage
+// faster than the runtime collects it: it limits its collections to half of the
+// processor time, also beyond its soft memory limit.
+type heapGate struct {
+	bound, smallBound, step int64
+
+	clock   clock.Clock
+	size    func() int64 // Size of the heap.
+	collect func()       // Collects the garbage.
+
+	mu         sync.Mutex
+	sampled    int64 // Size of the heap at sampledAt.
+	sampledAt  time.Time
+	pending    int64         // Admitted and not known to be allocated.
+	allocated  int64         // Allocated since sampledAt.
+	inUse      int64         // Size of the heap after the last collection.
+	restUntil  time.Time     // Until then no further collection begins.
+	collection chan struct{} // Closed when the collection that runs has ended; nil if none runs.
+}
+
+// newHeapGate returns a gate for a VM with the given memory.
+func newHeapGate(memory int64, c clock.Clock) *heapGate {
+	part := func(fraction float64) int64 { return int64(fraction * float64(memory)) }
+	return &heapGate{
+		bound: part(gateFraction), smallBound: part(smallGateFraction), step: max(part(gateStepFraction), minGateStep),
+		clock: c, size: heapSize, collect: runtime.GC,
+	}
+}
+
+// wait delays an allocation of n bytes until the heap has room for it. It returns
+// false if there is none in time; small allocations, those of connections and usual
+// requests, are then permitted all the same.
+func (g *heapGate) wait(n int64, small bool) bool {
+	var timeout <-chan time.Time
+	for {
+		collected := g.admit(n, small)
+		if collected == nil {
+			return true
+		}
+		if timeout == nil {
+			t := g.clock.NewTimer(maxGateWait)
+			defer t.Stop()
+			timeout = t.C()
+		}
+		select {
+		case <-collected:
+			if small {
+				g.force(n)
+				return true
+			}
+		case <-timeout:
+			if small {
+				g.force(n)
+			}
+			return small
+		}
+	}
+}
+
+// admit takes n bytes and returns nil, or returns a channel that is closed after the
+// next collection.
+func (g *heapGate) admit(n int64, small bool) <-chan struct{} {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if now := g.clock.Now(); now.Sub(g.sampledAt) >= sampleInterval || now.Before(g.sampledAt) {
+		g.sample(now)
+	}
+	bound := g.bound
+	if small {
+		bound = g.smallBound
+	}
+	if g.sampled+g.allocated+g.pending+n <= max(bound, g.inUse+g.step) {
+		g.pending += n
+		return nil
+	}
+	if g.collection == nil {
+		g.collection = make(chan struct{})
+		go g.runCollection(g.collection)
+	}
+	return g.collection
+}
+
+func (g *heapGate) force(n int64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.pending += n
+}
+
+// done notes that n bytes that were admitted are allocated.
+func (g *heapGate) done(n int64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.pending -= n
+	g.allocated += n
+}
+
+// sample reads the size of the heap. The caller holds g.mu.
+func (g *heapGate) sample(now time.Time) {
+	g.sampled, g.sampledAt, g.allocated = g.size(), now, 0
+}
+
+// runCollection collects the garbage and closes done. At most half of the time is
+// spent in collections.
+func (g *heapGate) runCollection(done chan struct{}) {
+	_ = clock.Sleep(context.Background(), g.clock, g.restUntil.Sub(g.clock.Now())) // Never ends early.
+	began := g.clock.Now()
+	g.collect()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.clock.Now()
+	g.sample(now)
+	g.inUse = g.sampled
+	g.restUntil = now.Add(now.Sub(began))
+	g.collection = nil
+	close(done)
+}
+
+// heapMetric is the memory of objects that are in use or not yet collected.
+const heapMetric = "/memory/classes/heap/objects:bytes"
+
+func heapSize() int64 {
+	sample := []metrics.Sample{{Name: heapMetric}}
+	metrics.Read(sample)
+	if sample[0].Value.Kind() != metrics.KindUint64 {
+		return 0
+	}
+	return int64(sample[0].Value.Uint64())
+}
--- a/clientbudget/limits.go
+++ b/clientbudget/limits.go
@@ -26,9 +26,11 @@
 	// connBytes is the memory of a connection without a request: stacks of its
 	// goroutines and buffers.
 	connBytes = 16 << 10
-	// lineBytes is the memory of a parsed header line beyond its bytes, for the most
-	// expensive lines, see docs/CAPACITY.md.
-	lineBytes = 120
+	// lineBytes is the memory of a parsed header line beyond its bytes, and
+	// lineAllocationBytes what is allocated for it while the list of lines grows.
+	// Both are those of the most expensive lines, see docs/CAPACITY.md.
+	lineBytes           = 120
+	lineAllocationBytes = 200
 	// headSlack is how much of a body may be read together with the head that it
 	// follows. It is the size of the server's buffer.
 	headSlack = 4 << 10
@@ -36,6 +38,7 @@
 
 // Limits are the bounds of a Budget.
 type Limits struct {
+	memory      int64 // Of the VM.
 	bytes       int64
 	connections int
 	stall       time.Duration
@@ -52,7 +55,7 @@
 	if maxFDs <= 0 {
 		maxFDs = defaultMaxFDs
 	}
-	l := Limits{bytes: int64(budgetFraction * float64(memory)), stall: defaultStall, minRate: defaultMinRate, acceptRate: defaultAcceptRate}
+	l := Limits{memory: memory, bytes: int64(budgetFraction * float64(memory)), stall: defaultStall, minRate: defaultMinRate, acceptRate: defaultAcceptRate}
 	l.connections = min(int(clientFDFraction*float64(maxFDs-fileFDs)), int(connFraction*float64(l.bytes))/connBytes)
 	for _, o := range opts {
 		o(&l)
--- a/clientbudget/listener.go
+++ b/clientbudget/listener.go
@@ -60,11 +60,13 @@
 		if d := l.budget.acceptDelay(); d > 0 {
 			_ = clock.Sleep(context.Background(), l.budget.clock, d) // Never ends early.
 		}
+		l.budget.gate.wait(connBytes, true)
 		c := &Conn{Conn: nc, budget: l.budget, headLimit: l.headLimit}
+		c.admitted.Store(connBytes)
 		if l.budget.add(c) {
 			return c, nil
 		}
-		_ = nc.Close() // Nothing was sent on it.
+		_ = c.Close() // Nothing was sent on it.
 	}
 }
 
--- a/clientbudget/request.go
+++ b/clientbudget/request.go
@@ -48,6 +48,15 @@
 	if c == nil {
 		return
 	}
+	// The begin of the next head may have been read with the end of this request.
+	if next := c.release(); !c.waitForHead(next) {
+		c.failed.Store(true)
+	}
+}
+
+// release releases what a request held, and returns the memory for the bytes that were
+// read last.
+func (c *Conn) release() int64 {
 	b := c.budget
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -56,6 +65,7 @@
 	c.once = false
 	c.enter(idle, b.now())
 	c.inHead.Store(true)
+	return c.last
 }
 
 // Run notes that the request is complete and may run from now on, if once is true
@@ -86,12 +96,19 @@
 const uncountedBody = 4 << 10
 
 // reserveBody notes that a buffer for a body of one size is replaced by one of
-// another size.
+// another size. It waits until the heap has room for a larger one.
 func (c *Conn) reserveBody(from, to int64) error {
 	from, to = max(0, from-uncountedBody), max(0, to-uncountedBody)
 	if c == nil || from == to {
 		return nil
 	}
+	if err := c.countBody(from, to); err != nil || to <= from || c.waitForHeap(to-from) {
+		return err
+	}
+	return ErrExhausted
+}
+
+func (c *Conn) countBody(from, to int64) error {
 	b := c.budget
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -150,6 +167,7 @@
 	}
 	// One byte beyond the length lets the last Read return the end of the body.
 	buf := make([]byte, 0, size+1)
+	c.noteBodyAllocated()
 	for {
 		n, err := r.Read(buf[len(buf):cap(buf)])
 		buf = buf[:len(buf)+n]
@@ -174,6 +192,7 @@
 			return nil, err
 		}
 		buf = append(make([]byte, 0, next+1), buf...)
+		c.noteBodyAllocated()
 		if err := c.reserveBody(size, 0); err != nil {
 			return nil, err
 		}
@@ -181,6 +200,12 @@
 	}
 }
 
+func (c *Conn) noteBodyAllocated() {
+	if c != nil {
+		c.noteAllocated()
+	}
+}
+
 // trim returns a body in a buffer of about its size.
 func (c *Conn) trim(buf []byte, size int64) ([]byte, error) {
 	if int64(len(buf)) >= size/2 {
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -99,7 +99,7 @@
 	d.client = peer.NewClient(peerOptions...)
 	d.strikes = newStrikeBroadcast(d.client, d.others)
 	d.suspects = admission.NewSuspects(d.clk, d.strikes.enqueue)
-	budget := readbudget.New(readbudget.Clock(d.clk))
+	budget := readbudget.New(readbudget.Clock(d.clk), readbudget.AdmitBy(d.clients.AdmitAllocation))
 	d.homes = home.NewSet(
 		home.WithLeaseEnd(func() time.Duration { return d.cell.LeaseEnd() }),
 		home.WithCrashHandler(d.suspects.RecordCrash),
--- a/node/daemon.go
+++ b/node/daemon.go
@@ -180,7 +180,7 @@
 		peerEvidence:  make(peerEvidence),
 		reports:       targets.NewReports(c),
 		notices:       targets.NewNotices(c),
-		readBudget:    readbudget.New(readbudget.Clock(c), readbudget.Memory(s.Memory()), readbudget.Beside(clients.Room), readbudget.PauseWhen(clientbudget.HeapFull(s.Memory()))),
+		readBudget:    readbudget.New(readbudget.Clock(c), readbudget.Memory(s.Memory()), readbudget.Beside(clients.Room), readbudget.AdmitBy(clients.AdmitAllocation), readbudget.PauseWhen(clientbudget.HeapFull(s.Memory()))),
 		clients:       clients,
 		reportCursors: make(reportCursors),
 		failures:      make(chan error, 1),
--- a/readbudget/budget.go
+++ b/readbudget/budget.go
@@ -26,6 +26,7 @@
 	room  func(n int) int
 	clock clock.Clock
 	full  func() bool
+	admit func(n int) bool
 
 	mu    sync.Mutex
 	taken int
@@ -34,7 +35,7 @@
 
 // New returns a budget for the connections of one daemon.
 func New(opts ...Option) *Budget {
-	b := &Budget{limit: maxBytes, clock: clock.System{}, full: func() bool { return false }, freed: make(chan struct{})}
+	b := &Budget{limit: maxBytes, clock: clock.System{}, full: func() bool { return false }, admit: func(int) bool { return true }, freed: make(chan struct{})}
 	for _, o := range opts {
 		o(b)
 	}
@@ -67,6 +68,23 @@
 // collected yet, and answers that were read and are about to be written.
 func PauseWhen(full func() bool) Option { return func(b *Budget) { b.full = full } }
 
+// AdmitBy sets a function that is called before n bytes of a large answer are allocated.
+// It may wait until garbage is collected, and returns false if there is no memory; one
+// answer is read all the same. Without it, answers that are read one after the other
+// would make garbage without a bound.
+func AdmitBy(f func(n int) bool) Option { return func(b *Budget) { b.admit = f } }
+
+// admits reports whether n bytes, which an answer that has taken own bytes has taken
+// last, may be allocated.
+func (b *Budget) admits(n, own int) bool {
+	if b.admit(n) {
+		return true
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.taken == own
+}
+
 // take takes n more bytes for an answer that has taken own bytes, unless too few are
 // left.
 func (b *Budget) take(n, own int) bool {
@@ -111,6 +129,9 @@
 			return 0, errSpent
 		}
 		r.taken += need
+		if !r.budget.admits(need, r.taken) {
+			return 0, errSpent
+		}
 	}
 	return n, err
 }
--- a/readbudget/budget_test.go
+++ b/readbudget/budget_test.go
@@ -139,3 +139,35 @@
 		t.Error("a second answer is not read although there is memory")
 	}
 }
+
+// Guards against garbage without a bound: answers that are read one after the other,
+// of which each is the only one, must wait for memory too. A single answer is read in
+// any case.
+func TestLargeAnswerIsAdmittedBeforeItIsAllocated(t *testing.T) {
+	var asked []int
+	room := true
+	b := New(AdmitBy(func(n int) bool {
+		asked = append(asked, n)
+		return room
+	}))
+	const size = 1 << 20
+	text := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", size, strings.Repeat("x", size))
+	read := func(r *Reader) bool {
+		r.Reader = strings.NewReader(text)
+		return r.ReadResponse(&fasthttp.Response{}, bufio.NewReader(r), size) == nil
+	}
+	first, second := NewReader(nil, b), NewReader(nil, b)
+	var got []bool
+	for range 2 {
+		got = append(got, read(first))
+		first.EndAnswer()
+	}
+	if len(asked) < 2 || asked[0] < size-freeBytes {
+		t.Errorf("asked for %v before two answers of %d bytes", asked, size)
+	}
+	room = false
+	got = append(got, read(first), read(second)) // The first still counts.
+	if diff := cmp.Diff([]bool{true, true, true, false}, got); diff != "" {
+		t.Errorf("answers read (-want +got):\n%s", diff)
+	}
+}
--- a/readbudget/response.go
+++ b/readbudget/response.go
@@ -66,7 +66,7 @@
 		return false
 	}
 	r.taken += need
-	return true
+	return r.budget.admits(need, r.taken)
 }
 
 // await takes n more bytes, as take does, as soon as they are free. It returns false
--- a/standin/clientload/node_test.go
+++ b/standin/clientload/node_test.go
@@ -24,6 +24,10 @@
 	hostName = "songs.example"
 	// largeAnswerBytes exceeds the buffers of a connection.
 	largeAnswerBytes = 1 << 20
+	// shardCount is the number of services of the gather route.
+	shardCount = 20
+	// slowAnswer is how long the target works on requests of the slow routes.
+	slowAnswer = 2 * time.Second
 )
 
 // nodeIP is used by this package only, and differs between runs at the same time.
@@ -51,9 +55,16 @@
 	store.Put(platform.KindTargets, "target", platformtest.NewTarget("songs", target, "a", 50).Object())
 	cfg := platformtest.NewConfig(1, bodyBytes)
 	cfg.Service("songs", 100)
-	for _, path := range []string{"find", "large"} {
+	for _, path := range []string{"find", "large", "slow"} {
 		cfg.Route(path, hostName, "/"+path+"/", 5*time.Second, 500*time.Millisecond, platformtest.SingleService("songs"))
 	}
+	shards := make([]string, shardCount)
+	for i := range shards {
+		shards[i] = fmt.Sprintf("shard-%d", i)
+		cfg.Service(shards[i], 100)
+		store.Put(platform.KindTargets, shards[i], platformtest.NewTarget(shards[i], target, "a", 50).Object())
+	}
+	cfg.Route("gather", hostName, "/gather/", 5*time.Second, 500*time.Millisecond, platformtest.Sharded(shards, 10, 0.5))
 	store.Put(platform.KindConfig, "main", cfg.Object())
 	return start(t, binary, "node", "/find/1", fmt.Sprintf(`{name: d1, zone: a, region: r, zones: {a: r}, capacity: 1, shutdown_ms: 1000,
 listen: {callers: "%s", ready: "%[2]s:28108", directory: "%[2]s:28100", operators: "%[2]s:28106", peers: "%[2]s:27380"},
@@ -126,8 +137,11 @@
 	w.Header().Set(platform.HeaderRequestID, id)
 	w.Header().Set(platform.HeaderStamp, "target."+id)
 	size := 16
-	if strings.HasPrefix(r.URL.Path, "/large/") {
+	switch {
+	case strings.HasPrefix(r.URL.Path, "/large/"):
 		size = largeAnswerBytes
+	case strings.HasPrefix(r.URL.Path, "/slow/"), strings.HasPrefix(r.URL.Path, "/gather/"):
+		time.Sleep(slowAnswer)
 	}
 	w.Header().Set("Content-Length", strconv.Itoa(size))
 	_, _ = w.Write(make([]byte, size)) // The daemon may have closed the connection.
--- /dev/null
+++ b/standin/clientload/returning_test.go
@@ -0,0 +1,73 @@
+package clientload
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+// Guards against clients that come back as soon as they are closed, and thereby make
+// the process allocate faster than the garbage is collected.
+func TestReturningClients(t *testing.T) {
+	binary := build(t)
+	const whole, pieces, small = "Content-Length: 262144", "Transfer-Encoding: chunked", "Content-Length: 65536"
+	for _, c := range []struct {
+		name, port string
+		load       load
+	}{
+		{"head of lines without a value, body without its end", "28104", post("/find/1", linesWithoutValue(), whole, body(bodyBytes))},
+		{"body without its end", "28104", post("/find/1", "", whole, body(bodyBytes))},
+		{"body in large pieces without its end", "28104", post("/find/1", "", pieces, chunked(bodyBytes, 16<<10))},
+		{"large answers that are not read", "28104", readNothing},
+		{"large heads, answers merged from many shards", "28104", post("/gather/1", linesWithoutValue(), "Content-Length: 10", body(11))},
+		{"listener of readiness", "28108", post("/api/readyz", linesWithoutValue(), small, body(64<<10))},
+		{"listener of the directory", "28100", post("/api/resolve", linesWithoutValue(), small, body(64<<10))},
+		{"listener of operators", "28106", post("/metrics", linesWithoutValue(), small, body(64<<10))},
+		{"listener of peers", "27380", post("/twirp/medlaryard.mirror.Mirror/Changes", linesWithoutValue(), small, body(64<<10))},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			n := startNode(t, binary, crowdMemoryMB, crowdFDs)
+			n.meets(t, crowd{nodeIP + ":" + c.port, c.load}, crowdMemoryMB, crowdFDs-fileFDs)
+		})
+	}
+}
+
+// Guards against the same at a daemon of the product's own interface.
+func TestReturningClientsOfServe(t *testing.T) {
+	binary := build(t)
+	query := fmt.Sprintf(`{"id":"a","owner":"o","class":"idempotent","service":"s","route":"r","body":%q}`, strings.Repeat("a", 1<<20-200))
+	for _, c := range []struct {
+		name, port string
+		load       load
+		fds        int
+	}{
+		{"large queries", "28104", post("/v1/query", "", fmt.Sprintf("Content-Length: %d", len(query)), query), crowdFDs},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			n := startServe(t, withDescriptors(t, binary, c.fds), *memoryMB)
+			n.meets(t, crowd{nodeIP + ":" + c.port, c.load}, *memoryMB, c.fds-1)
+		})
+	}
+}
+
+// withDescriptors returns a program that runs binary with a limit on its descriptors.
+func withDescriptors(t *testing.T, binary string, n int) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "limited")
+	script := fmt.Sprintf("#!/bin/sh\nulimit -n %d\nexec %s \"$@\"\n", n, binary)
+	if err := os.WriteFile(path, []byte(script), 0o700); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
+// linesWithoutValue returns 15 KB of header lines with different names and no value.
+func linesWithoutValue() string {
+	var b strings.Builder
+	for i := 0; b.Len() < 15<<10; i++ {
+		fmt.Fprintf(&b, "%c%c%c:\r\n", 'a'+i%26, 'a'+i/26%26, 'a'+i/26/26%26)
+	}
+	return b.String()
+}
