targets: connections to all targets have a bound of descriptors

What callers could see: requests on a route with many shards opened connections to all targets. A node with max_fds 1000 took 1,473 descriptors; at the limit of the process, dials fail, targets count as crashed and the store is out of reach.

Cause: the connections to each target were bounded, their sum was not. The part of the descriptors that clients do not take was only meant for targets.

Change: ConnLimit, shared by all groups. Nine tenths of the descriptors that are not reserved for files are for clients and targets. Targets have what clients cannot take, at least 15% with the default fractions, and half of what clients leave over; clients get no more than targets leave. At the limit, the connections that are idle for longest are closed, and waiting calls try again after 10 ms.

--- a/clientbudget/budget.go
+++ b/clientbudget/budget.go
@@ -41,6 +41,8 @@
 	origin time.Time
 	accept *rate.Limiter
 	gate   *heapGate
+	shared func() int // Descriptors that targets take.
+	opened func()     // Called after a connection was accepted.
 
 	mu       sync.Mutex
 	conns    map[*Conn]struct{}
@@ -60,10 +62,25 @@
 		limits: l, clock: c, log: log, origin: c.Now(), loggedAt: -logInterval,
 		accept: rate.NewLimiter(rate.Limit(l.acceptRate), l.connections),
 		gate:   newHeapGate(l.memory, c),
-		conns:  make(map[*Conn]struct{}), closed: make(map[reason]int),
+		shared: func() int { return 0 }, opened: func() {},
+		conns: make(map[*Conn]struct{}), closed: make(map[reason]int),
 	}
 }
 
+// ShareDescriptors sets functions for connections that take descriptors beside those
+// of clients: the first returns their number, and the second is called after each
+// connection of a client was accepted. It must be called before Listen.
+func (b *Budget) ShareDescriptors(others func() int, opened func()) {
+	b.shared, b.opened = others, opened
+}
+
+// Connections returns the number of open connections.
+func (b *Budget) Connections() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.conns)
+}
+
 // now returns the time of the budget, which stands still while the process is
 // paused: what clients send meanwhile is read afterwards. The caller holds b.mu.
 func (b *Budget) now() time.Duration { return b.clock.Now().Sub(b.origin) - b.paused }
@@ -80,15 +97,17 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.now()
-	if n := len(b.conns) - b.evicted - b.limits.connections + 1; n > 0 {
-		n += int(freeFraction * float64(b.limits.connections))
+	total, _ := b.limits.Descriptors()
+	limit := max(1, min(b.limits.connections, total-b.shared()))
+	if n := len(b.conns) - b.evicted - limit + 1; n > 0 {
+		n += int(freeFraction * float64(limit))
 		order := b.closable(now)
 		for _, worst := range order[:min(n, len(order))] {
 			b.evict(worst, connections)
 		}
 	}
 	// Descriptors are free only when their connections are closed.
-	if float64(len(b.conns)) >= overshoot*float64(b.limits.connections) || len(b.conns)-b.evicted >= b.limits.connections {
+	if float64(len(b.conns)) >= overshoot*float64(limit) || len(b.conns)-b.evicted >= limit {
 		b.count(connections)
 		return false
 	}
--- a/clientbudget/limits.go
+++ b/clientbudget/limits.go
@@ -17,8 +17,10 @@
 	// fileFDs is the number of descriptors that the platform reserves for files.
 	fileFDs = 200
 	// clientFDFraction is the part of the other descriptors that clients may take.
-	// The rest is for targets, the store and peers.
 	clientFDFraction = 0.6
+	// otherFDFraction is the part of the same that listeners, the store and peers may
+	// take.
+	otherFDFraction = 0.1
 	// connFraction is the part of the budget that connections without a request may
 	// take.
 	connFraction = 0.5
@@ -39,6 +41,7 @@
 // Limits are the bounds of a Budget.
 type Limits struct {
 	memory      int64 // Of the VM.
+	fds         int   // Not reserved for files.
 	bytes       int64
 	connections int
 	stall       time.Duration
@@ -55,8 +58,8 @@
 	if maxFDs <= 0 {
 		maxFDs = defaultMaxFDs
 	}
-	l := Limits{memory: memory, bytes: int64(budgetFraction * float64(memory)), stall: defaultStall, minRate: defaultMinRate, acceptRate: defaultAcceptRate}
-	l.connections = min(int(clientFDFraction*float64(maxFDs-fileFDs)), int(connFraction*float64(l.bytes))/connBytes)
+	l := Limits{memory: memory, fds: max(maxFDs-fileFDs, maxFDs/4), bytes: int64(budgetFraction * float64(memory)), stall: defaultStall, minRate: defaultMinRate, acceptRate: defaultAcceptRate}
+	l.connections = min(int(clientFDFraction*float64(l.fds)), int(connFraction*float64(l.bytes))/connBytes)
 	for _, o := range opts {
 		o(&l)
 	}
@@ -101,6 +104,13 @@
 // Connections returns the number of connections that clients may open.
 func (l Limits) Connections() int { return l.connections }
 
+// Descriptors returns how many descriptors clients and targets may take together, and
+// how many of them targets may take whatever clients take.
+func (l Limits) Descriptors() (total, forTargets int) {
+	total = int((1 - otherFDFraction) * float64(l.fds))
+	return total, max(1, total-int(overshoot*float64(l.connections)))
+}
+
 // HeapLimit returns the soft limit of the Go runtime for a VM with the given
 // memory.
 func HeapLimit(memory int64) int64 { return int64(heapFraction * float64(memory)) }
--- a/clientbudget/listener.go
+++ b/clientbudget/listener.go
@@ -64,6 +64,7 @@
 		c := &Conn{Conn: nc, budget: l.budget, headLimit: l.headLimit}
 		c.admitted.Store(connBytes)
 		if l.budget.add(c) {
+			l.budget.opened()
 			return c, nil
 		}
 		_ = c.Close() // Nothing was sent on it.
--- a/node/apply.go
+++ b/node/apply.go
@@ -79,7 +79,7 @@
 	}
 	return targets.NewGroup(service, platform.TargetProtocol(), targets.PlaceBy(placement),
 		targets.Clock(d.clock), targets.PreferDomain(d.settings.Domain()), targets.Log(d.log),
-		targets.OnCrash(d.engine.RecordCrash), targets.ReportTo(d.reports), targets.NoticesIn(d.notices), targets.ReadWithin(d.readBudget),
+		targets.OnCrash(d.engine.RecordCrash), targets.ReportTo(d.reports), targets.NoticesIn(d.notices), targets.ReadWithin(d.readBudget), targets.ConnectWithin(d.connLimit),
 		targets.Dial(func(ctx context.Context, address string) (net.Conn, error) {
 			return new(net.Dialer).DialContext(ctx, "tcp4", address)
 		}))
--- a/node/daemon.go
+++ b/node/daemon.go
@@ -105,6 +105,7 @@
 
 	readBudget *readbudget.Budget
 	clients    *clientbudget.Budget
+	connLimit  *targets.ConnLimit
 
 	incarnation uint64
 	shutdown    *shutdown
@@ -167,6 +168,7 @@
 
 func newDaemon(s Settings, c clock.Clock, l zerolog.Logger) *Daemon {
 	clients := clientbudget.New(s.clientLimits(), c, l)
+	descriptors, forTargets := s.clientLimits().Descriptors()
 	d := &Daemon{
 		settings: s, clock: c, log: l,
 		incarnation:   rand.Uint64(),
@@ -182,10 +184,12 @@
 		notices:       targets.NewNotices(c),
 		readBudget:    readbudget.New(readbudget.Clock(c), readbudget.Memory(s.Memory()), readbudget.Beside(clients.Room), readbudget.AdmitBy(clients.AdmitAllocation), readbudget.PauseWhen(clientbudget.HeapFull(s.Memory()))),
 		clients:       clients,
+		connLimit:     targets.NewConnLimit(descriptors, forTargets, clients.Connections),
 		reportCursors: make(reportCursors),
 		failures:      make(chan error, 1),
 		peers:         newPeerClient(),
 	}
+	clients.ShareDescriptors(d.connLimit.Open, d.connLimit.Reclaim)
 	d.mirror = mirror.New(d.notifyChange, platform.KindConfig, platform.KindTargets, platform.KindMoves, platform.KindEvacuations, platform.KindDaemons, kindInForce)
 	d.mirror.HoldChanged(platform.KindMoves)
 	d.store = platform.NewStore(s.StoreAddress(), d.mirror.Eras())
@@ -294,6 +298,7 @@
 	for _, g := range groups {
 		g.Close()
 	}
+	d.connLimit.Close()
 	d.store.Close()
 	d.wg.Wait()
 }
--- a/standin/clientload/returning_test.go
+++ b/standin/clientload/returning_test.go
@@ -9,7 +9,8 @@
 )
 
 // Guards against clients that come back as soon as they are closed, and thereby make
-// the process allocate faster than the garbage is collected.
+// the process allocate faster than the garbage is collected, or open more connections
+// to targets than it has descriptors.
 func TestReturningClients(t *testing.T) {
 	binary := build(t)
 	const whole, pieces, small = "Content-Length: 262144", "Transfer-Encoding: chunked", "Content-Length: 65536"
@@ -22,6 +23,8 @@
 		{"body in large pieces without its end", "28104", post("/find/1", "", pieces, chunked(bodyBytes, 16<<10))},
 		{"large answers that are not read", "28104", readNothing},
 		{"large heads, answers merged from many shards", "28104", post("/gather/1", linesWithoutValue(), "Content-Length: 10", body(11))},
+		{"large bodies, answers merged from many shards", "28104", post("/gather/1", "", whole, body(bodyBytes+1))},
+		{"answers merged from many shards", "28104", post("/gather/1", "", "Content-Length: 10", body(11))},
 		{"listener of readiness", "28108", post("/api/readyz", linesWithoutValue(), small, body(64<<10))},
 		{"listener of the directory", "28100", post("/api/resolve", linesWithoutValue(), small, body(64<<10))},
 		{"listener of operators", "28106", post("/metrics", linesWithoutValue(), small, body(64<<10))},
--- a/targets/connect.go
+++ b/targets/connect.go
@@ -83,8 +83,12 @@
 	}
 }
 
-// connect opens a connection to t in the background.
-func (g *Group) connect(t *Target) {
+// connect opens a connection to t in the background. It returns false if the daemon has
+// as many as it may open.
+func (g *Group) connect(t *Target) bool {
+	if !g.connLimit.take(g) {
+		return false
+	}
 	t.dialing++
 	g.wg.Add(1)
 	go func() {
@@ -95,8 +99,14 @@
 			_ = nc.Close() // Used for the probe only.
 			nc, err = g.open(t)
 		}
+		if err != nil {
+			g.connLimit.release(g)
+		} else if g.connLimit != nil {
+			nc = &limitedConn{Conn: nc, group: g}
+		}
 		g.handleDialResult(t, nc, err)
 	}()
+	return true
 }
 
 // open opens a connection to t.
@@ -129,8 +139,8 @@
 	}
 	t.unreachable = false
 	g.detectRestart(t, now)
-	if t.doubt == unresolved && t.dialing == 0 {
-		g.connect(t) // The doubt arose after this connection was opened.
+	if t.doubt == unresolved && t.dialing == 0 && !g.connect(t) { // The doubt arose after this connection was opened.
+		g.scheduleRetry(t)
 	}
 	c := newConn(t, nc, now)
 	g.connections++
@@ -190,8 +200,8 @@
 	g.clock.AfterFunc(retryDelay(t.dialFailures), func() {
 		g.mu.Lock()
 		defer g.mu.Unlock()
-		if (t.unreachable || t.doubt == unresolved) && !t.removed && !g.closed && t.dialing == 0 {
-			g.connect(t)
+		if (t.unreachable || t.doubt == unresolved) && !t.removed && !g.closed && t.dialing == 0 && !g.connect(t) {
+			g.scheduleRetry(t)
 		}
 	})
 }
--- a/targets/dispatch.go
+++ b/targets/dispatch.go
@@ -77,6 +77,10 @@
 	return sends
 }
 
+// connLimitWait is the time between attempts to open a connection while the daemon has
+// as many as it may open.
+const connLimitWait = 10 * time.Millisecond
+
 // scheduleDispatch calls dispatch after d, when a target with a limit may get
 // another request, unless an earlier call is due.
 func (g *Group) scheduleDispatch(now time.Time, d time.Duration) {
@@ -143,7 +147,9 @@
 		if !best.mayDial(g.maxConns) {
 			g.replaceIdleConn(best)
 		}
-		g.connect(best)
+		if !g.connect(best) {
+			g.scheduleDispatch(now, connLimitWait)
+		}
 	}
 	if bestConn != nil {
 		g.spendAllowance(best, now)
--- a/targets/group.go
+++ b/targets/group.go
@@ -53,6 +53,7 @@
 	log      zerolog.Logger
 
 	readBudget *readbudget.Budget
+	connLimit  *ConnLimit
 
 	mu          sync.Mutex
 	wg          sync.WaitGroup
--- a/targets/option.go
+++ b/targets/option.go
@@ -39,6 +39,10 @@
 // share.
 func ReadWithin(b *readbudget.Budget) Option { return func(g *Group) { g.readBudget = b } }
 
+// ConnectWithin sets the limit of connections, which the groups of a daemon share. By
+// default there is none.
+func ConnectWithin(l *ConnLimit) Option { return func(g *Group) { g.connLimit = l } }
+
 // Log sets the logger for state changes of targets.
 func Log(l zerolog.Logger) Option { return func(g *Group) { g.log = l } }
 
--- a/targets/restart.go
+++ b/targets/restart.go
@@ -134,7 +134,7 @@
 		return
 	}
 	g.putInDoubt(t)
-	if t.doubt == unresolved && t.dialing == 0 && !g.closed {
-		g.connect(t)
+	if t.doubt == unresolved && t.dialing == 0 && !g.closed && !g.connect(t) {
+		g.scheduleRetry(t)
 	}
 }
