clientbudget, daemon: a listener outlives the lack of descriptors

What callers saw: clients that connect and send nothing ended a serve process whose system grants fewer descriptors than it has connections. "Permanent error when accepting new connections: too many open files", then a shutdown.

Cause: fasthttp ends its server at an error of Accept other than a time-out, and the daemon stops when a listener has ended. The budget of serve had no bound on connections (MaxConnections), and no reserve of descriptors.

Change: a counted listener that has no descriptor or memory for a connection closes the clients that rank highest and tries again after 10 ms; no error reaches the server. serve derives the number of connections of clients from the process's limit of descriptors, as node does from max_fds.

--- a/clientbudget/budget.go
+++ b/clientbudget/budget.go
@@ -121,6 +121,20 @@
 	return true
 }
 
+// freeDescriptors closes connections because a listener could not accept another one.
+func (b *Budget) freeDescriptors() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.evicted > 0 {
+		return // Their descriptors are about to be free.
+	}
+	order := b.closable(b.now())
+	n := 1 + int(freeFraction*float64(len(b.conns)))
+	for _, worst := range order[:min(n, len(order))] {
+		b.evict(worst, connections)
+	}
+}
+
 // remove releases what a connection holds.
 func (b *Budget) remove(c *Conn) {
 	b.mu.Lock()
--- a/clientbudget/limits.go
+++ b/clientbudget/limits.go
@@ -94,10 +94,6 @@
 // is 2,000.
 func AcceptRate(n float64) LimitOption { return func(l *Limits) { l.acceptRate = n } }
 
-// MaxConnections sets the number of connections, for servers that refuse further
-// ones themselves. By default it follows from memory and descriptors.
-func MaxConnections(n int) LimitOption { return func(l *Limits) { l.connections = n } }
-
 // Bytes returns the memory that clients may take.
 func (l Limits) Bytes() int64 { return l.bytes }
 
--- a/clientbudget/listener.go
+++ b/clientbudget/listener.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"syscall"
+	"time"
 
 	"golang.org/x/sys/unix"
 
@@ -54,6 +55,12 @@
 func (l *listener) Accept() (net.Conn, error) {
 	for {
 		nc, err := l.Listener.Accept()
+		if isExhausted(err) {
+			// Some servers end at an error, and others wait without closing anything.
+			l.budget.freeDescriptors()
+			_ = clock.Sleep(context.Background(), l.budget.clock, exhaustedWait) // Never ends early.
+			continue
+		}
 		if err != nil {
 			return nil, err
 		}
@@ -71,6 +78,19 @@
 	}
 }
 
+// exhaustedWait is the time between attempts to accept a connection while the process
+// or the system has no descriptors or memory for it.
+const exhaustedWait = 10 * time.Millisecond
+
+func isExhausted(err error) bool {
+	for _, e := range []error{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM} {
+		if errors.Is(err, e) {
+			return true
+		}
+	}
+	return false
+}
+
 type connKey struct{}
 
 // Configure makes s pass on the state of its connections and gives them to the
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -8,6 +8,7 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -81,8 +82,7 @@
 		changed: make(chan struct{}, 1), serveErr: make(chan error, 1), ctx: ctx, cancel: cancel,
 	}
 	d.view.Store(&view{})
-	// The servers and listeners bound their connections themselves.
-	d.clients = clientbudget.New(clientbudget.NewLimits(int64(cfg.Memory()), 0, clientbudget.MaxConnections(math.MaxInt32)), d.clk, log.Logger)
+	d.clients = clientbudget.New(clientbudget.NewLimits(int64(cfg.Memory()), maxDescriptors()), d.clk, log.Logger)
 	if d.listeners, err = listen(cfg); err != nil {
 		cancel()
 		return nil, err
@@ -195,6 +195,17 @@
 	})
 }
 
+// maxDescriptors returns how many descriptors the process may open, or 0 if that is not
+// known.
+func maxDescriptors() int {
+	var limit syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil {
+		log.Warn().Err(err).Msg("the limit of descriptors is not known; using the default")
+		return 0
+	}
+	return int(min(limit.Cur, math.MaxInt32))
+}
+
 func newIncarnation() (string, error) {
 	var id [16]byte
 	if _, err := rand.Read(id[:]); err != nil {
--- a/standin/clientload/returning_test.go
+++ b/standin/clientload/returning_test.go
@@ -37,7 +37,8 @@
 	}
 }
 
-// Guards against the same at a daemon of the product's own interface.
+// Guards against the same at a daemon of the product's own interface, and against a
+// listener that ends when the process has no descriptors left.
 func TestReturningClientsOfServe(t *testing.T) {
 	binary := build(t)
 	query := fmt.Sprintf(`{"id":"a","owner":"o","class":"idempotent","service":"s","route":"r","body":%q}`, strings.Repeat("a", 1<<20-200))
@@ -47,6 +48,8 @@
 		fds        int
 	}{
 		{"large queries", "28104", post("/v1/query", "", fmt.Sprintf("Content-Length: %d", len(query)), query), crowdFDs},
+		{"nothing, few descriptors", "28104", silent, 300},
+		{"nothing to the listener of peers, few descriptors", "27380", silent, 300},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			n := startServe(t, withDescriptors(t, binary, c.fds), *memoryMB)
