--- a/standin/clientload/node_test.go
+++ b/standin/clientload/node_test.go
@@ -28,6 +28,10 @@
 	shardCount = 20
 	// slowAnswer is how long the target works on requests of the slow routes.
 	slowAnswer = 2 * time.Second
+	// inProgressPath is that of a request on a slow route.
+	inProgressPath = "/slow/in-progress"
+	// shutdownTime is the time for a graceful shutdown, in which such a request ends.
+	shutdownTime = 4 * time.Second
 )
 
 // nodeIP is used by this package only, and differs between runs at the same time.
@@ -39,7 +43,9 @@
 // node is a running daemon.
 type node struct {
 	cmd     *exec.Cmd
-	usual   string // Path of a usual request.
+	usual   string           // Path of a usual request.
+	store   *metastore.Store // Of a daemon of the platform.
+	began   chan struct{}    // Receives when the target has begun to answer inProgressPath.
 	exited  chan struct{}
 	log     bytes.Buffer // To be read after exited is closed.
 	maxFDs  int          // Most descriptors seen.
@@ -51,25 +57,51 @@
 func startNode(t *testing.T, binary string, memoryMB, maxFDs int) *node {
 	t.Helper()
 	store := metastore.New(50)
-	target := serve(t, http.HandlerFunc(answer))
+	began := make(chan struct{}, 1)
+	target := serve(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == inProgressPath {
+			select {
+			case began <- struct{}{}:
+			default:
+			}
+		}
+		answer(w, r)
+	}))
 	store.Put(platform.KindTargets, "target", platformtest.NewTarget("songs", target, "a", 50).Object())
-	cfg := platformtest.NewConfig(1, bodyBytes)
+	cfg := newConfig(1)
+	for _, name := range shards() {
+		store.Put(platform.KindTargets, name, platformtest.NewTarget(name, target, "a", 50).Object())
+	}
+	store.Put(platform.KindConfig, "main", cfg.Object())
+	n := start(t, binary, "node", "/find/1", fmt.Sprintf(`{name: d1, zone: a, region: r, zones: {a: r}, capacity: 1, shutdown_ms: %d,
+listen: {callers: "%[2]s", ready: "%[3]s:28108", directory: "%[3]s:28100", operators: "%[3]s:28106", peers: "%[3]s:27380"},
+store: {address: "%[4]s"}, extra_sends: {ratio: 0.2, slack: 50}, memory_mb: %[5]d, max_fds: %[6]d}
+`, shutdownTime.Milliseconds(), callers, nodeIP, serve(t, store.Handler()), memoryMB, maxFDs))
+	n.store, n.began = store, began
+	return n
+}
+
+// shards returns the names of the services of the gather route.
+func shards() []string {
+	names := make([]string, shardCount)
+	for i := range names {
+		names[i] = fmt.Sprintf("shard-%d", i)
+	}
+	return names
+}
+
+// newConfig returns a configuration with the routes of the tests.
+func newConfig(version int) *platformtest.Config {
+	cfg := platformtest.NewConfig(version, bodyBytes)
 	cfg.Service("songs", 100)
+	for _, name := range shards() {
+		cfg.Service(name, 100)
+	}
 	for _, path := range []string{"find", "large", "slow"} {
 		cfg.Route(path, hostName, "/"+path+"/", 5*time.Second, 500*time.Millisecond, platformtest.SingleService("songs"))
 	}
-	shards := make([]string, shardCount)
-	for i := range shards {
-		shards[i] = fmt.Sprintf("shard-%d", i)
-		cfg.Service(shards[i], 100)
-		store.Put(platform.KindTargets, shards[i], platformtest.NewTarget(shards[i], target, "a", 50).Object())
-	}
-	cfg.Route("gather", hostName, "/gather/", 5*time.Second, 500*time.Millisecond, platformtest.Sharded(shards, 10, 0.5))
-	store.Put(platform.KindConfig, "main", cfg.Object())
-	return start(t, binary, "node", "/find/1", fmt.Sprintf(`{name: d1, zone: a, region: r, zones: {a: r}, capacity: 1, shutdown_ms: 1000,
-listen: {callers: "%s", ready: "%[2]s:28108", directory: "%[2]s:28100", operators: "%[2]s:28106", peers: "%[2]s:27380"},
-store: {address: "%[3]s"}, extra_sends: {ratio: 0.2, slack: 50}, memory_mb: %[4]d, max_fds: %[5]d}
-`, callers, nodeIP, serve(t, store.Handler()), memoryMB, maxFDs))
+	cfg.Route("gather", hostName, "/gather/", 5*time.Second, 500*time.Millisecond, platformtest.Sharded(shards(), 10, 0.5))
+	return cfg
 }
 
 // startServe starts a daemon of the product's own interface without searchers.
@@ -185,9 +217,11 @@
 }
 
 // request sends a usual request and reports whether it was answered.
-func (n *node) request(id string) bool {
+func (n *node) request(id string) bool { return n.requestPath(n.usual, id) }
+
+func (n *node) requestPath(path, id string) bool {
 	client := &http.Client{Timeout: ioTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
-	req, err := http.NewRequest(http.MethodGet, "http://"+callers+n.usual, nil)
+	req, err := http.NewRequest(http.MethodGet, "http://"+callers+path, nil)
 	if err != nil {
 		return false
 	}
