fleet: heartbeats are kept within a bound

What clients could cause: datagrams to the peers' port that name ever new daemons took memory without a bound.

Cause: any valid heartbeat of an unknown sender became a member.

Change: the heartbeats that are kept have up to 4 MiB as received. Beyond that, lost daemons are removed, and a heartbeat of a daemon that is not known is ignored (counter fleet.ignored). 3,200 daemons with heartbeats of 1,280 bytes fit.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -27,6 +27,9 @@
 	// maxDatagramBytes is the size of the receive buffer, the maximum of UDP. Daemons
 	// of earlier versions put all details into one heartbeat.
 	maxDatagramBytes = 64 << 10
+	// maxMemberBytes bounds the encoded heartbeats that are kept. That of a daemon has
+	// up to 1,280 bytes, and each takes about three times as much when decoded.
+	maxMemberBytes = 4 << 20
 	// malformedLogInterval and malformedLogBurst bound the log lines about
 	// datagrams that cannot be decoded.
 	malformedLogInterval = 10 * time.Second
@@ -54,6 +57,7 @@
 
 	mu      sync.Mutex
 	members map[string]*member // By peer address.
+	bytes   int                // Of the heartbeats of all members, as received.
 	wg      sync.WaitGroup
 	stop    context.CancelFunc
 }
@@ -61,7 +65,8 @@
 // member is a daemon from which a heartbeat was received.
 type member struct {
 	Member
-	lost bool
+	lost  bool
+	bytes int // Of the heartbeat as received.
 }
 
 // Option sets an option of a Fleet.
@@ -185,11 +190,32 @@
 			f.log.Warn().Str("member", m.name).Dur("silent_for", silence).Msg("daemon lost")
 		}
 		if silence > forgetAfter {
-			delete(f.members, key)
+			f.removeLocked(key)
 		}
 	}
 }
 
+func (f *Fleet) removeLocked(key string) {
+	if m := f.members[key]; m != nil {
+		f.bytes -= m.bytes
+		delete(f.members, key)
+	}
+}
+
+// hasRoomLocked reports whether the heartbeat of a daemon that is not known may be
+// kept. It removes lost daemons if there is no room otherwise.
+func (f *Fleet) hasRoomLocked(n int, now time.Time) bool {
+	if f.bytes+n <= maxMemberBytes {
+		return true
+	}
+	for key, m := range f.members {
+		if now.Sub(m.receivedAt) > LostAfter {
+			f.removeLocked(key)
+		}
+	}
+	return f.bytes+n <= maxMemberBytes
+}
+
 func (f *Fleet) send(h *mirrorpb.Heartbeat, to ...string) {
 	b, err := proto.Marshal(h)
 	if err != nil {
@@ -227,7 +253,7 @@
 			}
 			continue
 		}
-		f.handleHeartbeat(h)
+		f.handleHeartbeat(h, n)
 	}
 }
 
@@ -253,7 +279,8 @@
 	return a, nil
 }
 
-func (f *Fleet) handleHeartbeat(h *mirrorpb.Heartbeat) {
+// handleHeartbeat takes in a heartbeat of n bytes.
+func (f *Fleet) handleHeartbeat(h *mirrorpb.Heartbeat, n int) {
 	m := Member{
 		name: h.GetName(), incarnation: h.GetIncarnation(), domain: h.GetZone(), callerAddress: h.GetFront(),
 		peerAddress: h.GetPeer(), leaving: h.GetLeaving(), serving: h.GetServing(),
@@ -263,11 +290,18 @@
 	}
 	f.mu.Lock()
 	previous := f.members[m.peerAddress]
+	if previous == nil && !f.hasRoomLocked(n, m.receivedAt) {
+		f.mu.Unlock()
+		meter.Count("fleet.ignored", 1)
+		return
+	}
+	f.removeLocked(m.peerAddress)
 	found := previous == nil || previous.lost || previous.incarnation != m.incarnation
 	if found {
 		f.log.Info().Str("member", m.name).Str("zone", m.domain).Msg("daemon found")
 	}
-	f.members[m.peerAddress] = &member{Member: m}
+	f.members[m.peerAddress] = &member{Member: m, bytes: n}
+	f.bytes += n
 	f.mu.Unlock()
 	if h.GetReply() {
 		f.send(f.heartbeat(), m.peerAddress)
