--- a/settings/table.go
+++ b/settings/table.go
@@ -69,7 +69,7 @@
 	optional("searcher.reply_bytes", "bytes", syntax.IntBetween(64*kib, 64*mib, "bytes"), 4*mib, func(s *Spec) *int { return &s.SearcherReplyBytes },
 		"Maximum size of a reply from a searcher."),
 	optional("memory", "bytes", syntax.IntBetween(64*mib, 1024*1024*mib, "bytes"), 4096*mib, func(s *Spec) *int { return &s.Memory },
-		"Memory of the VM. Requests and answers of callers may take 0.3 of it; the connections that hold most for longest are closed first. The Go runtime gets a soft limit of 0.55 of it."),
+		"Memory of the VM. Requests and answers of callers may take 0.3 of it; the connections that hold most for longest are closed first. The Go runtime gets a soft limit of 0.55 of it; what is allocated for callers and large replies of searchers waits while the heap exceeds 0.4 of it. Connections take 0.6 of the descriptors that the system grants the process beyond 200."),
 	optional("log.level", "word", syntax.OneOf(Debug, Info, Warn, Error), Info, func(s *Spec) *LogLevel { return &s.LogLevel },
 		"Lowest level of the JSON log lines on standard error."),
 }
