--- a/standin/clientload/clientload_test.go
+++ b/standin/clientload/clientload_test.go
@@ -84,13 +84,20 @@
 	return binary
 }
 
-// check plays a load and checks that the daemon lives, stays within its memory and
-// the given number of descriptors, and answers afterwards.
+// check plays a load and checks that the daemon stays within the memory of the flags
+// and the given number of descriptors.
 func (n *node) check(t *testing.T, l load, maxFDs int) {
+	t.Helper()
+	n.survives(t, func() { play(callers, *connections, l) }, *memoryMB, maxFDs)
+}
+
+// survives plays a load and checks that the daemon lives, stays within the given memory
+// and number of descriptors, and answers afterwards.
+func (n *node) survives(t *testing.T, play func(), memoryMB, maxFDs int) {
 	t.Helper()
 	done, answered := make(chan struct{}), make(chan string, 1)
 	go func() { answered <- n.requestsUntil(done) }()
-	play(callers, *connections, l)
+	play()
 	close(done)
 	if !n.alive() {
 		t.Fatal("the process has ended")
@@ -102,7 +109,7 @@
 	_ = n.cmd.Process.Kill() // The process is alive.
 	<-n.sampled
 	t.Logf("%d MB resident, %d descriptors, %s", memory/1e6, n.maxFDs, <-answered)
-	if limit := *memoryMB * 1e6; memory > limit {
+	if limit := memoryMB * 1e6; memory > limit {
 		t.Errorf("%d bytes resident, the bound is %d", memory, limit)
 	}
 	if n.maxFDs > maxFDs {
--- a/standin/clientload/crowd_test.go
+++ b/standin/clientload/crowd_test.go
@@ -47,29 +47,8 @@
 	wg.Wait()
 }
 
-// meets plays a crowd and checks that the daemon lives, stays within the given memory
-// and descriptors, and answers afterwards.
+// meets plays a crowd and checks the daemon, see survives.
 func (n *node) meets(t *testing.T, c crowd, memoryMB, maxFDs int) {
 	t.Helper()
-	done, answered := make(chan struct{}), make(chan string, 1)
-	go func() { answered <- n.requestsUntil(done) }()
-	c.play()
-	close(done)
-	meanwhile := <-answered
-	if !n.alive() {
-		t.Fatal("the process has ended")
-	}
-	if !n.serves() {
-		t.Error("no usual request is answered after the load")
-	}
-	memory := n.peakMemory(t)
-	_ = n.cmd.Process.Kill() // The process is alive.
-	<-n.sampled
-	t.Logf("%d MB resident, %d descriptors, %s", memory/1e6, n.maxFDs, meanwhile)
-	if limit := memoryMB * 1e6; memory > limit {
-		t.Errorf("%d bytes resident, the bound is %d", memory, limit)
-	}
-	if n.maxFDs > maxFDs {
-		t.Errorf("%d descriptors, the bound is %d", n.maxFDs, maxFDs)
-	}
+	n.survives(t, c.play, memoryMB, maxFDs)
 }
