clientbudget: connections to targets take their part of the budget

Cause: each connection to a target holds a buffer and a goroutine, as those of clients do, and was counted nowhere; the crowd opens about 500 of them.

Change: what is not small may be held only up to the budget less 16 KiB for each connection to a target, a quarter of the budget in any case. Small requests are admitted as before. At 184 MB and 1,362 targets 33 of 55 MB remain.

--- a/clientbudget/budget.go
+++ b/clientbudget/budget.go
@@ -181,7 +181,12 @@
 // makeRoom closes connections until n more bytes are free. It returns false if
 // there are not enough whose clients are later than that of c, and then closes none.
 func (b *Budget) makeRoom(c *Conn, n int64, now time.Duration) bool {
-	if excess := b.held - b.closing + n - b.limits.bytes; excess > 0 {
+	limit := b.limits.bytes
+	bound := smallOvershoot
+	if n > smallBytes {
+		limit, bound = b.largeLimit(), overshoot
+	}
+	if excess := b.held - b.closing + n - limit; excess > 0 {
 		order := b.closable(now)
 		if i := slices.Index(order, c); i >= 0 {
 			order = order[:i]
@@ -198,11 +203,16 @@
 			b.evict(worst, memory)
 		}
 	}
-	bound := overshoot
-	if n <= smallBytes {
-		bound = smallOvershoot
-	}
-	return b.held-b.closing+n <= b.limits.bytes && float64(b.held+n) <= bound*float64(b.limits.bytes)
+	return b.held-b.closing+n <= limit && float64(b.held+n) <= bound*float64(limit)
+}
+
+// minLargeFraction is the least part of the budget for reservations that are not small.
+const minLargeFraction = 0.25
+
+// largeLimit returns how much may be held when a reservation that is not small is made.
+// Connections to targets take as much as those of clients.
+func (b *Budget) largeLimit() int64 {
+	return max(int64(minLargeFraction*float64(b.limits.bytes)), b.limits.bytes-connBytes*int64(b.shared()))
 }
 
 func heldBy(conns []*Conn) int64 {
