clientbudget: connections that are being closed count with those to targets

Cause: connections of clients that are being closed may exceed their bound by a quarter, also when that bound is what targets leave. 420 to targets, 375 of clients and about 7 others are 802.

Change: open connections of clients, with those being closed, never exceed what targets leave of the descriptors for both (720 in this test).

Evidence: TestClosingConnectionsCountWithThoseToTargets, before: 795 connections for 720 descriptors; it passes now.

--- a/clientbudget/budget.go
+++ b/clientbudget/budget.go
@@ -107,7 +107,7 @@
 		}
 	}
 	// Descriptors are free only when their connections are closed.
-	if float64(len(b.conns)) >= overshoot*float64(limit) || len(b.conns)-b.evicted >= limit {
+	if len(b.conns) >= min(int(overshoot*float64(limit)), max(1, total-b.shared())) || len(b.conns)-b.evicted >= limit {
 		b.count(connections)
 		return false
 	}
--- a/clientbudget/exhausted_test.go
+++ b/clientbudget/exhausted_test.go
@@ -48,3 +48,20 @@
 		t.Errorf("the error of a closed listener is returned; a waiting connection is closed (-want +got):\n%s", diff)
 	}
 }
+
+// Guards against connections that are being closed and, with those to targets, take more
+// descriptors than there are for both.
+func TestClosingConnectionsCountWithThoseToTargets(t *testing.T) {
+	l := NewLimits(0, 1000)
+	total, _ := l.Descriptors()
+	b := New(l, clock.System{}, zerolog.Nop())
+	const toTargets = 420
+	b.ShareDescriptors(func() int { return toTargets }, func() {})
+	for range 2 * total {
+		nc, _ := net.Pipe()
+		b.add(&Conn{Conn: nc, budget: b}) // Those beyond the bound are refused.
+	}
+	if n := b.Connections() + toTargets; n > total {
+		t.Errorf("%d connections, there are descriptors for %d", n, total)
+	}
+}
