fleet: members are kept without details, registered ones first

Operators: heartbeats with many details from senders that are known took memory beyond the VM's.

Cause: all of a heartbeat was kept, although only what describes its sender is read later; the bound counted the encoded size, which decoding multiplies (an empty message takes 2 bytes encoded), and only for the first heartbeat of a sender.

Change: members are kept without versions, moves, strikes, reports and notices, and without unknown fields. The bound counts their memory for each heartbeat. If there is no room, members that are registered in the store replace others. Silent members no longer make room after 1.25 s: they are removed after 60 s as before, so that forged senders that take turns do not fill what others keep for each sender.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -27,9 +27,6 @@
 	// maxDatagramBytes is the size of the receive buffer, the maximum of UDP. Daemons
 	// of earlier versions put all details into one heartbeat.
 	maxDatagramBytes = 64 << 10
-	// maxMemberBytes bounds the encoded heartbeats that are kept. That of a daemon has
-	// up to 1,280 bytes, and each takes about three times as much when decoded.
-	maxMemberBytes = 4 << 20
 	// malformedLogInterval and malformedLogBurst bound the log lines about
 	// datagrams that cannot be decoded.
 	malformedLogInterval = 10 * time.Second
@@ -51,13 +48,14 @@
 	recipients  func(round int) (serving, standby []string)
 	onHeartbeat func(Member)
 	greeting    func() []*mirrorpb.Heartbeat
+	registered  func(peer string) bool
 
 	packer       packer
 	malformedLog *rate.Limiter
 
 	mu      sync.Mutex
 	members map[string]*member // By peer address.
-	bytes   int                // Of the heartbeats of all members, as received.
+	bytes   int                // Of all members, see Member.size.
 	wg      sync.WaitGroup
 	stop    context.CancelFunc
 }
@@ -65,8 +63,7 @@
 // member is a daemon from which a heartbeat was received.
 type member struct {
 	Member
-	lost  bool
-	bytes int // Of the heartbeat as received.
+	lost bool
 }
 
 // Option sets an option of a Fleet.
@@ -86,6 +83,11 @@
 // found: at its start, or after a silence. By default there are none.
 func Greeting(fn func() []*mirrorpb.Heartbeat) Option { return func(f *Fleet) { f.greeting = fn } }
 
+// Registered sets the function that reports whether a daemon with the given peer address
+// is registered in the store. When there is no room for all, daemons that are registered
+// are kept rather than others. The function must not use the fleet. By default none is.
+func Registered(fn func(peer string) bool) Option { return func(f *Fleet) { f.registered = fn } }
+
 // Recipients sets the function that returns the peer addresses to which the
 // heartbeats of a round are sent: those of daemons that serve, and those of
 // daemons on standby.
@@ -108,6 +110,7 @@
 		recipients:   func(int) (serving, standby []string) { return nil, nil },
 		malformedLog: rate.NewLimiter(rate.Every(malformedLogInterval), malformedLogBurst),
 		onHeartbeat:  func(Member) {}, greeting: func() []*mirrorpb.Heartbeat { return nil }, members: make(map[string]*member),
+		registered: func(string) bool { return false },
 	}
 	for _, o := range opts {
 		o(f)
@@ -195,27 +198,6 @@
 	}
 }
 
-func (f *Fleet) removeLocked(key string) {
-	if m := f.members[key]; m != nil {
-		f.bytes -= m.bytes
-		delete(f.members, key)
-	}
-}
-
-// hasRoomLocked reports whether the heartbeat of a daemon that is not known may be
-// kept. It removes lost daemons if there is no room otherwise.
-func (f *Fleet) hasRoomLocked(n int, now time.Time) bool {
-	if f.bytes+n <= maxMemberBytes {
-		return true
-	}
-	for key, m := range f.members {
-		if now.Sub(m.receivedAt) > LostAfter {
-			f.removeLocked(key)
-		}
-	}
-	return f.bytes+n <= maxMemberBytes
-}
-
 func (f *Fleet) send(h *mirrorpb.Heartbeat, to ...string) {
 	b, err := proto.Marshal(h)
 	if err != nil {
@@ -246,17 +228,20 @@
 			return // The connection is closed.
 		}
 		h := &mirrorpb.Heartbeat{}
-		if err := proto.Unmarshal(buf[:n], h); err != nil || !valid(h) {
+		if err := decoding.Unmarshal(buf[:n], h); err != nil || !valid(h) {
 			meter.Count("fleet.received_malformed", 1)
 			if f.malformedLog.AllowN(f.clock.Now(), 1) {
 				f.log.Warn().Err(err).Stringer("sender", sender).Int("bytes", n).Msg("datagram is no heartbeat; ignoring it")
 			}
 			continue
 		}
-		f.handleHeartbeat(h, n)
+		f.handleHeartbeat(h)
 	}
 }
 
+// decoding discards fields of later versions, which members would hold otherwise.
+var decoding = proto.UnmarshalOptions{DiscardUnknown: true}
+
 // valid reports whether a heartbeat names a daemon and its addresses.
 func valid(h *mirrorpb.Heartbeat) bool {
 	if _, err := parseAddress(h.GetPeer()); err != nil {
@@ -279,8 +264,7 @@
 	return a, nil
 }
 
-// handleHeartbeat takes in a heartbeat of n bytes.
-func (f *Fleet) handleHeartbeat(h *mirrorpb.Heartbeat, n int) {
+func (f *Fleet) handleHeartbeat(h *mirrorpb.Heartbeat) {
 	m := Member{
 		name: h.GetName(), incarnation: h.GetIncarnation(), domain: h.GetZone(), callerAddress: h.GetFront(),
 		peerAddress: h.GetPeer(), leaving: h.GetLeaving(), serving: h.GetServing(),
@@ -290,7 +274,7 @@
 	}
 	f.mu.Lock()
 	previous := f.members[m.peerAddress]
-	if previous == nil && !f.hasRoomLocked(n, m.receivedAt) {
+	if !f.makeRoomLocked(m) {
 		f.mu.Unlock()
 		meter.Count("fleet.ignored", 1)
 		return
@@ -300,8 +284,8 @@
 	if found {
 		f.log.Info().Str("member", m.name).Str("zone", m.domain).Msg("daemon found")
 	}
-	f.members[m.peerAddress] = &member{Member: m, bytes: n}
-	f.bytes += n
+	f.members[m.peerAddress] = &member{Member: m.withoutDetails()}
+	f.bytes += m.size()
 	f.mu.Unlock()
 	if h.GetReply() {
 		f.send(f.heartbeat(), m.peerAddress)
--- a/fleet/member.go
+++ b/fleet/member.go
@@ -7,7 +7,9 @@
 	"medlaryard.example/medlaryard/peer/peerpb"
 )
 
-// Member is another daemon as described by its last heartbeat.
+// Member is another daemon as described by its last heartbeat. Versions, OlderEras,
+// Moves, Strikes, Reports and Notices are known only to the function that OnHeartbeat
+// sets.
 type Member struct {
 	name          string
 	incarnation   uint64
--- a/node/listen.go
+++ b/node/listen.go
@@ -22,7 +22,7 @@
 		return eris.Wrap(err, "listen for heartbeats")
 	}
 	d.fleet = fleet.New(conn, d.heartbeat, fleet.Clock(d.clock), fleet.Log(d.log), fleet.OnHeartbeat(d.handleHeartbeat),
-		fleet.Recipients(d.heartbeatRecipients), fleet.SendDetails(d.details), fleet.Greeting(d.greeting))
+		fleet.Recipients(d.heartbeatRecipients), fleet.SendDetails(d.details), fleet.Greeting(d.greeting), fleet.Registered(d.serving.isRegistered))
 	peerHandler, err := mirror.Handler(d.mirror)
 	if err != nil {
 		return err
--- a/node/serving.go
+++ b/node/serving.go
@@ -4,6 +4,7 @@
 	"maps"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"medlaryard.example/medlaryard/clock"
@@ -16,6 +17,9 @@
 	clock         clock.Clock
 	name          string
 	lastHeartbeat func(peer string) time.Time
+	// registered holds the peer addresses of the candidates. It is read without mu,
+	// because the fleet reads it while it holds a lock of its own.
+	registered atomic.Pointer[map[string]bool]
 
 	mu            sync.Mutex
 	candidates    []fleet.Candidate
@@ -28,8 +32,20 @@
 	return &servingSet{clock: c, name: name, lastHeartbeat: lastHeartbeat, expectedSince: make(map[string]time.Time), lost: make(map[string]bool)}
 }
 
+// isRegistered reports whether a daemon with the given peer address is registered in the
+// store.
+func (s *servingSet) isRegistered(peer string) bool {
+	registered := s.registered.Load()
+	return registered != nil && (*registered)[peer]
+}
+
 // setCandidates replaces the daemons registered in the store.
 func (s *servingSet) setCandidates(cs []fleet.Candidate) {
+	registered := make(map[string]bool, len(cs))
+	for _, c := range cs {
+		registered[c.PeerAddress()] = true
+	}
+	s.registered.Store(&registered)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.candidates = cs
