node: evidence of moves is kept within a bound

Cause: evidence was kept for each service, version and route that any sender named, until an order of that service ended. Each heartbeat with evidence sorted all members.

Change: the evidence of all daemons has 16 MiB, of which those that are not registered in the store may take a quarter. Evidence without room is ignored; its sender repeats it. Whether a daemon is known is looked up instead of listing all.

--- a/node/daemon.go
+++ b/node/daemon.go
@@ -128,7 +128,7 @@
 
 	expiryTimer   clock.Timer
 	moves         map[string]*moveState // By service.
-	peerEvidence  peerEvidence
+	peerEvidence  *peerEvidence
 	reportCursors reportCursors
 
 	wg       sync.WaitGroup
@@ -179,7 +179,6 @@
 		targetCache:   newTargetCache(l),
 		groups:        make(map[string]*targets.Group),
 		moves:         make(map[string]*moveState),
-		peerEvidence:  make(peerEvidence),
 		reports:       targets.NewReports(c),
 		notices:       targets.NewNotices(c),
 		readBudget:    readbudget.New(readbudget.Clock(c), readbudget.Memory(s.Memory()), readbudget.Beside(clients.Room), readbudget.AdmitBy(clients.AdmitAllocation), readbudget.PauseWhen(clientbudget.HeapFull(s.Memory()))),
@@ -194,6 +193,7 @@
 	d.mirror.HoldChanged(platform.KindMoves)
 	d.store = platform.NewStore(s.StoreAddress(), d.mirror.Eras())
 	d.serving = newServingSet(c, s.Name(), func(peer string) time.Time { return d.fleet.LastHeartbeat(peer) })
+	d.peerEvidence = newPeerEvidence(d.knows, d.serving.isRegistered)
 	d.follower = mirror.NewFollower(d.mirror, d.store.Reader(), c, l, d.shouldWatch, func() bool { return !d.serving.includesSelf() })
 	d.suspects = admission.NewSuspects(c, func([]*peerpb.CrashStrike) {}) // Heartbeats distribute the strikes.
 	opts := []query.Option{
--- a/node/evidence_test.go
+++ b/node/evidence_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -27,12 +28,12 @@
 		{"late", [][]*mirrorpb.MoveEvidence{{evidence("a", 5, 2)}, {evidence("a", 3, 1)}}, map[string]int{"a": 5}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			p := make(peerEvidence)
+			p := newPeerEvidence(always, always)
 			for _, part := range c.parts {
-				p.merge("10.0.0.2:7", 1, part, nil)
+				p.merge("10.0.0.2:7", 1, part)
 			}
 			checkEvidence(t, p, c.want)
-			p.merge("10.0.0.2:7", 2, []*mirrorpb.MoveEvidence{evidence("a", 1, 3)}, nil)
+			p.merge("10.0.0.2:7", 2, []*mirrorpb.MoveEvidence{evidence("a", 1, 3)})
 			checkEvidence(t, p, map[string]int{"a": 1})
 			p.forget("shard0")
 			checkEvidence(t, p, map[string]int{})
@@ -40,7 +41,34 @@
 	}
 }
 
-func checkEvidence(t *testing.T, p peerEvidence, want map[string]int) {
+func always(string) bool { return true }
+
+// Guards against evidence of unknown daemons that takes memory without a bound, or that
+// leaves no room for the daemons that are registered.
+func TestPeerEvidenceIsKeptWithinABound(t *testing.T) {
+	const services = 30_000
+	p := newPeerEvidence(always, func(peer string) bool { return peer == "10.0.0.2:7" })
+	for _, peer := range []string{"10.0.0.3:7", "10.0.0.2:7"} {
+		for i := range services {
+			p.merge(peer, 1, []*mirrorpb.MoveEvidence{encodeEvidence(fmt.Sprint("shard", i), "v2", "r", time.Second, upgrade.RouteEvidence{})})
+		}
+	}
+	var got []int
+	for _, peer := range []string{"10.0.0.3:7", "10.0.0.2:7"} {
+		n := 0
+		for service := range p.daemons[peer].latest {
+			n += p.daemons[peer].size(service)
+		}
+		got = append(got, n/(1<<20))
+	}
+	p.remove("10.0.0.3:7")
+	p.remove("10.0.0.2:7")
+	if diff := cmp.Diff([]int{3, 12, 0}, append(got, p.bytes)); diff != "" {
+		t.Errorf("MB of an unknown daemon, of a registered one, bytes after both are removed (-want +got):\n%s", diff)
+	}
+}
+
+func checkEvidence(t *testing.T, p *peerEvidence, want map[string]int) {
 	t.Helper()
 	e := make(upgrade.Evidence)
 	p.addTo(e, "shard0", "v2")
--- a/node/moves.go
+++ b/node/moves.go
@@ -144,5 +144,5 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.peerEvidence.merge(m.PeerAddress(), m.Incarnation(), m.Moves(), d.fleet.KnownMembers())
+	d.peerEvidence.merge(m.PeerAddress(), m.Incarnation(), m.Moves())
 }
--- a/node/peers.go
+++ b/node/peers.go
@@ -108,6 +108,9 @@
 	}
 }
 
+// knows reports whether the daemon at a peer address has been heard lately.
+func (d *Daemon) knows(peer string) bool { return !d.fleet.LastHeartbeat(peer).IsZero() }
+
 func (d *Daemon) fetchChanges(ctx context.Context) {
 	for {
 		select {
