node: cursors of reports are kept only for daemons that send reports

Operators: each sender that was not known before cost a sorted copy of all members while heartbeats are received, also if it reported nothing. With some thousand forged senders the heartbeats of others would wait in the socket and be dropped; this was read in the source, not seen in a run.

Change: a heartbeat without reports makes no cursor, and known daemons are looked up instead of listed. A sender that restarts is recognised with its next report, as before.

--- a/node/reports.go
+++ b/node/reports.go
@@ -1,6 +1,8 @@
 package node
 
 import (
+	"maps"
+
 	"medlaryard.example/medlaryard/fleet"
 	"medlaryard.example/medlaryard/mirror/mirrorpb"
 	"medlaryard.example/medlaryard/targets"
@@ -18,20 +20,12 @@
 
 // cursor returns the cursor for a peer address and creates it if necessary.
 // Creating one removes the cursors of daemons that are no longer known.
-func (c reportCursors) cursor(peer string, known func() []fleet.Member) *reportCursor {
+func (c reportCursors) cursor(peer string, known func(peer string) bool) *reportCursor {
 	cursor := c[peer]
 	if cursor != nil {
 		return cursor
 	}
-	present := make(map[string]bool)
-	for _, m := range known() {
-		present[m.PeerAddress()] = true
-	}
-	for p := range c {
-		if !present[p] {
-			delete(c, p)
-		}
-	}
+	maps.DeleteFunc(c, func(peer string, _ *reportCursor) bool { return !known(peer) })
 	cursor = &reportCursor{}
 	c[peer] = cursor
 	return cursor
@@ -91,10 +85,10 @@
 // mergeReports adds the failures that another daemon observed, so that daemons
 // need not discover a bad target one by one.
 func (d *Daemon) mergeReports(m fleet.Member) {
-	if !d.serving.includesSelf() || m.Name() == d.settings.Name() {
+	if len(m.Reports().GetReports()) == 0 || !d.serving.includesSelf() || m.Name() == d.settings.Name() {
 		return
 	}
-	reports := d.reportCursors.cursor(m.PeerAddress(), d.fleet.KnownMembers).newReports(m.Incarnation(), m.Reports())
+	reports := d.reportCursors.cursor(m.PeerAddress(), d.knows).newReports(m.Incarnation(), m.Reports())
 	if len(reports) == 0 {
 		return
 	}
