targets: notices of other daemons are kept within a bound

Cause: a notice that another daemon passes on was kept for each fingerprint, a leaving target for ten minutes; a standby daemon never removed those that had expired.

Change: notices of others are kept for 20,000 targets. At that number those that have expired are removed, at most once a second; further targets are ignored.

--- a/targets/notices.go
+++ b/targets/notices.go
@@ -2,11 +2,13 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"sync"
 	"time"
 
 	"medlaryard.example/medlaryard/clock"
+	"medlaryard.example/medlaryard/meter"
 )
 
 const (
@@ -24,6 +26,12 @@
 	// leavingTTL is how long a target is known to leave. It exceeds the time in
 	// which a leaving target ends.
 	leavingTTL = 10 * time.Minute
+	// maxStates bounds the targets of which notices of other daemons are kept. Each takes
+	// about 200 bytes.
+	maxStates = 20_000
+	// expiryInterval is the least time between two searches for expired notices when
+	// that number is reached.
+	expiryInterval = time.Second
 )
 
 // SharedNotice is what one daemon tells others of a target.
@@ -67,6 +75,8 @@
 
 	mu     sync.Mutex
 	states map[uint64]noticeState // By fingerprint of the target.
+	// searchedAt is the last search for expired notices because of maxStates.
+	searchedAt time.Time
 }
 
 // noticeState is what is known of one target.
@@ -199,7 +209,11 @@
 	defer n.mu.Unlock()
 	now := n.clock.Now()
 	for _, s := range shared {
-		state := n.states[s.target]
+		state, known := n.states[s.target]
+		if !known && !n.hasRoom(now) {
+			meter.Count("targets.notices_ignored", 1)
+			continue
+		}
 		if s.notice.limited {
 			state.limit, state.limited = s.notice.limit, true
 		}
@@ -216,6 +230,16 @@
 	}
 }
 
+// hasRoom reports whether the notices of another target may be kept. The caller holds
+// n.mu.
+func (n *Notices) hasRoom(now time.Time) bool {
+	if len(n.states) >= maxStates && now.Sub(n.searchedAt) >= expiryInterval {
+		n.searchedAt = now
+		maps.DeleteFunc(n.states, func(_ uint64, s noticeState) bool { return s.expired(now) })
+	}
+	return len(n.states) < maxStates
+}
+
 // limit returns the limit that a target has named. It returns false if there is
 // none, or if it has expired.
 func (n *Notices) limit(target uint64) (perSecond float64, ok bool) {
