clientbudget, daemon: a listener's own limit closes connections instead of waiting

Operators of serve: 64 clients that send nothing and return when they are closed kept everyone else from the operators' listener, and 8,192 did the same at that of peers.

Cause: both listeners stopped accepting at their limit (netutil.LimitListener), and a connection without a request has its place for 5 s. Ordinary clients waited behind all that had connected before. The wrapped connections also hid from the budget what the system still holds of an answer, and could not be reset.

Change: the limit is one of clientbudget's listener, which closes connections of the same listener in the order of their rank, as at the limit of all listeners. The dependency on golang.org/x/net is no longer used.

TestOperatorsAmongReturningClients, 400 clients: no request answered within 5 s on, answered after the change. A first form of the test passed on the old code too, because its clients left by themselves.

--- a/clientbudget/budget.go
+++ b/clientbudget/budget.go
@@ -100,14 +100,10 @@
 	total, _ := b.limits.Descriptors()
 	limit := max(1, min(b.limits.connections, total-b.shared()))
 	if n := len(b.conns) - b.evicted - limit + 1; n > 0 {
-		n += int(freeFraction * float64(limit))
-		order := b.closable(now)
-		for _, worst := range order[:min(n, len(order))] {
-			b.evict(worst, connections)
-		}
+		b.evictWorst(n+int(freeFraction*float64(limit)), now, nil)
 	}
 	// Descriptors are free only when their connections are closed.
-	if len(b.conns) >= min(int(overshoot*float64(limit)), max(1, total-b.shared())) || len(b.conns)-b.evicted >= limit {
+	if len(b.conns) >= min(int(overshoot*float64(limit)), max(1, total-b.shared())) || len(b.conns)-b.evicted >= limit || !b.makeRoomAt(c.listener, now) {
 		b.count(connections)
 		return false
 	}
@@ -118,9 +114,37 @@
 		return false
 	}
 	b.conns[c] = struct{}{}
+	if c.listener != nil {
+		c.listener.open++
+	}
 	return true
 }
 
+// makeRoomAt closes connections of a listener that has reached its own limit. It returns
+// false if there is no room for another one.
+func (b *Budget) makeRoomAt(l *listener, now time.Duration) bool {
+	if l == nil || l.limit == 0 {
+		return true
+	}
+	if n := l.open - l.evicted - l.limit + 1; n > 0 {
+		b.evictWorst(n+int(freeFraction*float64(l.limit)), now, l)
+	}
+	return l.open < int(overshoot*float64(l.limit)) && l.open-l.evicted < l.limit
+}
+
+// evictWorst closes up to n connections of a listener, or of all if it is nil.
+func (b *Budget) evictWorst(n int, now time.Duration, l *listener) {
+	for _, c := range b.closable(now) {
+		if n <= 0 {
+			return
+		}
+		if l == nil || c.listener == l {
+			b.evict(c, connections)
+			n--
+		}
+	}
+}
+
 // freeDescriptors closes connections because a listener could not accept another one.
 func (b *Budget) freeDescriptors() {
 	b.mu.Lock()
@@ -128,11 +152,7 @@
 	if b.evicted > 0 {
 		return // Their descriptors are about to be free.
 	}
-	order := b.closable(b.now())
-	n := 1 + int(freeFraction*float64(len(b.conns)))
-	for _, worst := range order[:min(n, len(order))] {
-		b.evict(worst, connections)
-	}
+	b.evictWorst(1+int(freeFraction*float64(len(b.conns))), b.now(), nil)
 }
 
 // remove releases what a connection holds.
@@ -148,6 +168,12 @@
 		b.closing -= c.held
 		b.evicted--
 	}
+	if l := c.listener; l != nil {
+		l.open--
+		if c.evicted {
+			l.evicted--
+		}
+	}
 	c.held, c.removed = 0, true
 }
 
@@ -266,6 +292,9 @@
 func (b *Budget) evict(c *Conn, why reason) {
 	c.evicted = true
 	b.evicted++
+	if c.listener != nil {
+		c.listener.evicted++
+	}
 	b.closing += c.held
 	b.count(why)
 	go c.abort() // Waits until the connection is not in use.
--- a/clientbudget/conn.go
+++ b/clientbudget/conn.go
@@ -31,6 +31,7 @@
 type Conn struct {
 	net.Conn
 	budget    *Budget
+	listener  *listener // Nil if it was not accepted by one.
 	headLimit func() int
 	inHead    atomic.Bool  // A head is expected or being read.
 	failed    atomic.Bool  // Bytes of a head were dropped, so nothing more may be read.
--- a/clientbudget/listener.go
+++ b/clientbudget/listener.go
@@ -15,10 +15,22 @@
 
 // Listen returns a listener whose connections are counted. headLimit returns the
 // largest size of a request head in bytes; it is called while a head is read.
-func (b *Budget) Listen(l net.Listener, headLimit func() int) net.Listener {
-	return &listener{Listener: l, budget: b, headLimit: headLimit}
+func (b *Budget) Listen(l net.Listener, headLimit func() int, opts ...ListenOption) net.Listener {
+	counted := &listener{Listener: l, budget: b, headLimit: headLimit}
+	for _, o := range opts {
+		o(counted)
+	}
+	return counted
 }
 
+// ListenOption sets an option of a listener.
+type ListenOption func(*listener)
+
+// MaxConnections bounds the connections of one listener. At the bound, connections of
+// the same listener are closed as they are at that of all listeners. By default only the
+// latter holds.
+func MaxConnections(n int) ListenOption { return func(l *listener) { l.limit = n } }
+
 // socketBufferBytes bounds what the system holds for a connection in each direction;
 // it uses twice the value. By default it would hold some megabytes of an answer that
 // the client does not take, which count toward the memory of the VM.
@@ -49,6 +61,11 @@
 	net.Listener
 	budget    *Budget
 	headLimit func() int
+	limit     int // Of its connections; 0 if there is none.
+
+	// The budget's lock guards the fields below.
+	open    int // Its connections.
+	evicted int // Those of them that are being closed.
 }
 
 // Accept implements net.Listener. It closes connections for which there is no room.
@@ -68,7 +85,7 @@
 			_ = clock.Sleep(context.Background(), l.budget.clock, d) // Never ends early.
 		}
 		l.budget.gate.wait(connBytes, true)
-		c := &Conn{Conn: nc, budget: l.budget, headLimit: l.headLimit}
+		c := &Conn{Conn: nc, budget: l.budget, listener: l, headLimit: l.headLimit}
 		c.admitted.Store(connBytes)
 		if l.budget.add(c) {
 			l.budget.opened()
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -168,8 +168,8 @@
 	if d.vms != nil {
 		d.vms.Start()
 	}
-	d.serve("peers", d.clients.Listen(d.listeners.peers, headLimit), d.peers.serve)
-	d.serve("operators", d.clients.Listen(d.listeners.operators, headLimit), d.operators.serve)
+	d.serve("peers", d.clients.Listen(d.listeners.peers, headLimit, clientbudget.MaxConnections(maxPeerConnections)), d.peers.serve)
+	d.serve("operators", d.clients.Listen(d.listeners.operators, headLimit, clientbudget.MaxConnections(maxOperatorConnections)), d.operators.serve)
 	d.tasks.Go(func() { d.cell.Run(d.ctx) })
 	d.tasks.Go(d.refreshLoop)
 	d.tasks.Go(func() { d.clients.Run(d.ctx) })
@@ -178,6 +178,7 @@
 	probes := &prober{client: d.client, others: d.others, recordContact: d.entry.RecordContact}
 	d.tasks.Go(func() { probes.run(d.ctx, d.clk) })
 	d.clients.BoundSocketBuffers(d.listeners.callers)
+	// The callers' server limits its connections itself and responds with a refusal.
 	d.serve("callers", d.clients.Listen(d.listeners.callers, headLimit), d.callers.Serve)
 	log.Info().Str("incarnation", d.incarnation).Str("callers", d.listeners.callers.Addr().String()).
 		Str("peers", d.listeners.peers.Addr().String()).Str("operators", d.listeners.operators.Addr().String()).
--- a/daemon/listeners.go
+++ b/daemon/listeners.go
@@ -4,7 +4,6 @@
 	"net"
 
 	"github.com/rotisserie/eris"
-	"golang.org/x/net/netutil"
 
 	"medlaryard.example/medlaryard/settings"
 )
@@ -30,21 +29,16 @@
 		listener *net.Listener
 		path     string
 		address  string
-		limit    int
 	}{
-		{&l.peers, "peer.listen", cfg.PeerListen(), maxPeerConnections},
-		{&l.operators, "operator.listen", cfg.OperatorListen(), maxOperatorConnections},
-		// The callers' server limits its connections itself and responds with a refusal.
-		{&l.callers, "caller.listen", cfg.CallerListen(), 0},
+		{&l.peers, "peer.listen", cfg.PeerListen()},
+		{&l.operators, "operator.listen", cfg.OperatorListen()},
+		{&l.callers, "caller.listen", cfg.CallerListen()},
 	} {
 		opened, err := net.Listen("tcp", s.address)
 		if err != nil {
 			l.close()
 			return listeners{}, eris.Wrap(err, s.path)
 		}
-		if s.limit > 0 {
-			opened = netutil.LimitListener(opened, s.limit)
-		}
 		*s.listener = opened
 	}
 	return l, nil
--- a/standin/clientload/load_test.go
+++ b/standin/clientload/load_test.go
@@ -153,3 +153,12 @@
 
 // silent sends nothing.
 func silent(conn net.Conn, _ string) error { return send(conn) }
+
+// silentUntilClosed sends nothing until the daemon closes the connection.
+func silentUntilClosed(conn net.Conn, _ string) error {
+	if err := conn.SetReadDeadline(time.Now().Add(2 * crowdTime)); err != nil {
+		return err
+	}
+	_, err := io.Copy(io.Discard, conn)
+	return err
+}
--- a/standin/clientload/node_test.go
+++ b/standin/clientload/node_test.go
@@ -43,6 +43,7 @@
 // node is a running daemon.
 type node struct {
 	cmd     *exec.Cmd
+	address string           // Of the listener that gets usual requests.
 	usual   string           // Path of a usual request.
 	store   *metastore.Store // Of a daemon of the platform.
 	began   chan struct{}    // Receives when the target has begun to answer inProgressPath.
@@ -126,7 +127,7 @@
 	if err := os.WriteFile(settings, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	n := &node{cmd: exec.Command(binary, command, settings), usual: usual, exited: make(chan struct{}), sampled: make(chan struct{})}
+	n := &node{cmd: exec.Command(binary, command, settings), address: callers, usual: usual, exited: make(chan struct{}), sampled: make(chan struct{})}
 	n.cmd.Stdout, n.cmd.Stderr = &n.log, &n.log
 	if err := n.cmd.Start(); err != nil {
 		t.Fatal(err)
@@ -221,7 +222,7 @@
 
 func (n *node) requestPath(path, id string) bool {
 	client := &http.Client{Timeout: ioTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
-	req, err := http.NewRequest(http.MethodGet, "http://"+callers+path, nil)
+	req, err := http.NewRequest(http.MethodGet, "http://"+n.address+path, nil)
 	if err != nil {
 		return false
 	}
--- a/standin/clientload/returning_test.go
+++ b/standin/clientload/returning_test.go
@@ -6,6 +6,7 @@
 	"path/filepath"
 	"strings"
 	"testing"
+	"time"
 )
 
 // Guards against clients that come back as soon as they are closed, and thereby make
@@ -58,6 +59,29 @@
 	}
 }
 
+// Guards against clients that send nothing and thereby keep others from a listener of
+// serve that takes few connections.
+func TestOperatorsAmongReturningClients(t *testing.T) {
+	n := startServe(t, build(t), *memoryMB)
+	n.address, n.usual = nodeIP+":28106", "/metrics"
+	played := make(chan struct{})
+	go func() {
+		crowd{n.address, silentUntilClosed}.play()
+		close(played)
+	}()
+	time.Sleep(crowdTime / 4)
+	answered := n.request("operator")
+	select {
+	case <-played:
+		t.Fatal("the clients have ended before the request was answered")
+	default:
+	}
+	if !answered {
+		t.Error("no request is answered while clients that send nothing return")
+	}
+	<-played
+}
+
 // withDescriptors returns a program that runs binary with a limit on its descriptors.
 func withDescriptors(t *testing.T, binary string, n int) string {
 	t.Helper()
