clientbudget: all pieces of a request share one wait for the heap

Callers: a body that grows while the heap is at its bound could wait for up to 1 s before each growth of its buffer, and was refused only after the last.

Cause: the bound of the wait held for each allocation.

Change: a connection adds up the time that its request has waited, and waits at most 1 s in all. Small allocations wait for one collection as before.

--- a/clientbudget/budget.go
+++ b/clientbudget/budget.go
@@ -261,7 +261,7 @@
 // AdmitAllocation waits until the heap has room for n bytes that are allocated at once.
 // It returns false if there is none in time.
 func (b *Budget) AdmitAllocation(n int) bool {
-	if !b.gate.wait(int64(n), false) {
+	if !b.gate.wait(int64(n), false, maxGateWait) {
 		return false
 	}
 	b.gate.done(int64(n))
--- a/clientbudget/conn.go
+++ b/clientbudget/conn.go
@@ -36,6 +36,7 @@
 	inHead    atomic.Bool  // A head is expected or being read.
 	failed    atomic.Bool  // Bytes of a head were dropped, so nothing more may be read.
 	admitted  atomic.Int64 // Admitted by the heap gate and not known to be allocated.
+	waited    atomic.Int64 // Nanoseconds that the request has waited for room in the heap.
 
 	// The budget's lock guards the fields below.
 	usage
@@ -138,7 +139,12 @@
 // connection meanwhile. The wait does not count as the client's.
 func (c *Conn) waitForHeap(n int64) bool {
 	b := c.budget
-	room := b.gate.wait(n, n <= smallBytes)
+	small, limit, began := n <= smallBytes, maxGateWait, b.clock.Now()
+	if !small {
+		limit -= time.Duration(c.waited.Load())
+	}
+	room := b.gate.wait(n, small, limit)
+	c.waited.Add(int64(b.clock.Now().Sub(began)))
 	if room {
 		c.admitted.Add(n)
 	}
--- a/clientbudget/heapgate.go
+++ b/clientbudget/heapgate.go
@@ -23,8 +23,8 @@
 	minGateStep = 2 << 20
 	// sampleInterval is the least time between readings of the heap's size.
 	sampleInterval = 5 * time.Millisecond
-	// maxGateWait bounds the wait of a request that needs much memory. A small
-	// allocation waits for one collection at most.
+	// maxGateWait bounds how long a request that needs much memory waits in all. A
+	// small allocation waits for one collection at most.
 	maxGateWait = time.Second
 )
 
@@ -59,9 +59,9 @@
 }
 
 // wait delays an allocation of n bytes until the heap has room for it. It returns
-// false if there is none in time; small allocations, those of connections and usual
-// requests, are then permitted all the same.
-func (g *heapGate) wait(n int64, small bool) bool {
+// false if there is none within the given time; small allocations, those of connections
+// and usual requests, are then permitted all the same.
+func (g *heapGate) wait(n int64, small bool, limit time.Duration) bool {
 	var timeout <-chan time.Time
 	for {
 		collected := g.admit(n, small)
@@ -69,7 +69,7 @@
 			return true
 		}
 		if timeout == nil {
-			t := g.clock.NewTimer(maxGateWait)
+			t := g.clock.NewTimer(limit)
 			defer t.Stop()
 			timeout = t.C()
 		}
--- a/clientbudget/request.go
+++ b/clientbudget/request.go
@@ -63,6 +63,7 @@
 	b.take(c, connBytes+c.last-c.held)
 	c.served++
 	c.once = false
+	c.waited.Store(0)
 	c.enter(idle, b.now())
 	c.inHead.Store(true)
 	return c.last
