daemon: the socket buffers of operators are bounded

Operators of serve: what the system holds of an answer that nobody takes, up to some megabytes for each of 64 connections, was not bounded, since the listener was wrapped. It no longer is.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -178,6 +178,7 @@
 	probes := &prober{client: d.client, others: d.others, recordContact: d.entry.RecordContact}
 	d.tasks.Go(func() { probes.run(d.ctx, d.clk) })
 	d.clients.BoundSocketBuffers(d.listeners.callers)
+	d.clients.BoundSocketBuffers(d.listeners.operators)
 	// The callers' server limits its connections itself and responds with a refusal.
 	d.serve("callers", d.clients.Listen(d.listeners.callers, headLimit), d.callers.Serve)
 	log.Info().Str("incarnation", d.incarnation).Str("callers", d.listeners.callers.Addr().String()).
