clientbudget: a head without room gets 503

Callers: a head for which there was no memory ended its connection without an answer.

Change: the connection answers 503 with Retry-After before it ends. Nothing of the request has run. The answer is lost if the client still sends, as that to a large body is.

TestNothingIsReadAfterDroppedPiece expects the answer: none before, 503 after.

--- a/clientbudget/conn.go
+++ b/clientbudget/conn.go
@@ -27,6 +27,10 @@
 const oversizedHead = "HTTP/1.1 431 Request Header Fields Too Large\r\nContent-Type: text/plain\r\n" +
 	"Content-Length: 17\r\nConnection: close\r\n\r\nheader_too_large\n"
 
+// exhaustedHead is the answer to a head for which there is no memory.
+const exhaustedHead = "HTTP/1.1 503 Service Unavailable\r\nContent-Type: text/plain\r\nRetry-After: 1\r\n" +
+	"Content-Length: 11\r\nConnection: close\r\n\r\noverloaded\n"
+
 // Conn is a connection of a client.
 type Conn struct {
 	net.Conn
@@ -77,6 +81,8 @@
 	c.failed.Store(true)
 	if why == headSize {
 		c.refuseHead()
+	} else if c.Conn.SetWriteDeadline(time.Now().Add(refusalLinger)) == nil {
+		_, _ = io.WriteString(c.Conn, exhaustedHead) // The budget may have closed the connection.
 	}
 	return 0, errClosed
 }
