peer: decoding a call waits for room in the heap

Operators of serve without a shared key: calls to the peers' listener with many empty items took 1,928 MB of resident memory with memory 80,000,000 (400 returning clients, 524,288 items of 2 bytes each; TestReturningClientsOfServe, calls of peers with many items).

Cause: only the encoded size of a call was bounded. An empty message takes 2 bytes encoded and some 80 to 300 decoded, the generated server reads the body into a buffer that grows, and a call with too many items was answered with a refusal for each of them.

Change: before a call is decoded, a bound of what that allocates is computed from its fields, and the call waits for room as the bodies of callers do. What exceeds the bound of the heap is refused at once with 503. A call with too many items gets no more refusals than a valid call may have items.

--- a/clientbudget/handler.go
+++ b/clientbudget/handler.go
@@ -12,7 +12,11 @@
 // Handler returns a handler that reads the whole body of each request within the
 // budget and passes it on to next. A body may have maxBody bytes; a request whose
 // body is larger gets 413, one for which there is no memory 503.
-func Handler(next http.Handler, maxBody int) http.Handler {
+func Handler(next http.Handler, maxBody int, opts ...HandlerOption) http.Handler {
+	h := handler{allocation: func(*http.Request, []byte) int { return 0 }}
+	for _, o := range opts {
+		o(&h)
+	}
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		c := FromContext(r.Context())
 		if r.Body != nil && r.Body != http.NoBody {
@@ -21,6 +25,10 @@
 				refuseBody(w, err)
 				return
 			}
+			if err := c.AdmitAllocation(h.allocation(r, body)); err != nil {
+				refuseBody(w, err)
+				return
+			}
 			r.Body = io.NopCloser(bytes.NewReader(body))
 		}
 		if c.Run(false) != nil {
@@ -30,6 +38,19 @@
 	})
 }
 
+type handler struct {
+	allocation func(r *http.Request, body []byte) int
+}
+
+// HandlerOption sets an option of a Handler.
+type HandlerOption func(*handler)
+
+// Decoding sets the function that returns how many bytes are allocated to decode a body.
+// The handler that decodes it calls NoteAllocated afterwards.
+func Decoding(f func(r *http.Request, body []byte) int) HandlerOption {
+	return func(h *handler) { h.allocation = f }
+}
+
 func refuseBody(w http.ResponseWriter, err error) {
 	status := http.StatusBadRequest
 	var tooLarge *http.MaxBytesError
--- a/clientbudget/heaplimiter.go
+++ b/clientbudget/heaplimiter.go
@@ -62,6 +62,9 @@
 // false if there is none within the given time; small allocations, those of connections
 // and usual requests, are then permitted all the same.
 func (g *heapLimiter) wait(n int64, small bool, limit time.Duration) bool {
+	if !small && n > max(g.bound, g.step) {
+		return false // There is never room.
+	}
 	var timeout <-chan time.Time
 	for {
 		collected := g.admit(n, small)
--- a/clientbudget/request.go
+++ b/clientbudget/request.go
@@ -168,7 +168,7 @@
 	}
 	// One byte beyond the length lets the last Read return the end of the body.
 	buf := make([]byte, 0, size+1)
-	c.noteBodyAllocated()
+	c.NoteAllocated()
 	for {
 		n, err := r.Read(buf[len(buf):cap(buf)])
 		buf = buf[:len(buf)+n]
@@ -193,7 +193,7 @@
 			return nil, err
 		}
 		buf = append(make([]byte, 0, next+1), buf...)
-		c.noteBodyAllocated()
+		c.NoteAllocated()
 		if err := c.reserveBody(size, 0); err != nil {
 			return nil, err
 		}
@@ -202,19 +202,17 @@
 }
 
 // AdmitAllocation waits until the heap has room for n bytes that are allocated to decode
-// the request. The function that it returns must be called when they are. It fails with
-// ErrExhausted if there is no room in time; the request must not run then.
-func (c *Conn) AdmitAllocation(n int) (allocated func(), err error) {
-	if c == nil || n <= uncountedBody {
-		return func() {}, nil
-	}
-	if !c.waitForHeap(int64(n)) {
-		return nil, ErrExhausted
+// the request; NoteAllocated must be called when they are. It fails with ErrExhausted if
+// there is no room in time. The request must not run then.
+func (c *Conn) AdmitAllocation(n int) error {
+	if c == nil || n <= uncountedBody || c.waitForHeap(int64(n)) {
+		return nil
 	}
-	return c.noteAllocated, nil
+	return ErrExhausted
 }
 
-func (c *Conn) noteBodyAllocated() {
+// NoteAllocated notes that what was admitted is allocated.
+func (c *Conn) NoteAllocated() {
 	if c != nil {
 		c.noteAllocated()
 	}
--- a/daemon/fleet.go
+++ b/daemon/fleet.go
@@ -105,11 +105,13 @@
 	return peer.RelayReply(results, generation, 0), nil
 }
 
-// refuseAll returns a refusal for every item of a message that cannot be decoded.
+// refuseAll returns a refusal for every item of a message that is not valid, up to the
+// number that a valid one may have.
 func refuseAll(in *peerpb.RelayRequest, err error) []shard.Result {
 	e := refusal.FromError(err)
-	results := make([]shard.Result, 0, len(in.Items))
-	for _, item := range in.Items {
+	items := in.Items[:min(len(in.Items), peer.MaxItems)]
+	results := make([]shard.Result, 0, len(items))
+	for _, item := range items {
 		results = append(results, shard.NewResult(shard.ResultSpec{
 			Kind: e.Kind(), Ran: refusal.NotRun, Shard: item.GetShard(), Group: item.GetGroup(), Detail: e.Detail(),
 		}))
--- a/entry/body.go
+++ b/entry/body.go
@@ -37,11 +37,10 @@
 	if err != nil {
 		return none, err
 	}
-	allocated, err := conn.AdmitAllocation(decodeAllocation * len(data))
-	if err != nil {
+	if err := conn.AdmitAllocation(decodeAllocation * len(data)); err != nil {
 		return none, refuseExhausted(c, err)
 	}
-	defer allocated()
+	defer conn.NoteAllocated()
 	return decode(data)
 }
 
--- a/peer/handlers.go
+++ b/peer/handlers.go
@@ -5,6 +5,7 @@
 
 	"github.com/twitchtv/twirp"
 
+	"medlaryard.example/medlaryard/clientbudget"
 	"medlaryard.example/medlaryard/peer/peerpb"
 )
 
@@ -51,8 +52,9 @@
 	return callHandler(ctx, s.h.Report, in)
 }
 
-// callHandler calls f, or returns an error if f is nil.
+// callHandler calls f with a decoded message, or returns an error if f is nil.
 func callHandler[Q, R any](ctx context.Context, f func(context.Context, Q) (R, error), in Q) (R, error) {
+	clientbudget.FromContext(ctx).NoteAllocated()
 	if f == nil {
 		var zero R
 		return zero, twirp.NewError(twirp.Unimplemented, "daemon has no handler for the RPC")
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -102,7 +102,7 @@
 		"limit":            {refusal.Malformed, func(m *peerpb.RelayRequest) { m.Limit = maxHits + 1 }},
 		"name":             {refusal.Malformed, func(m *peerpb.RelayRequest) { m.Route = strings.Repeat("x", maxNameBytes+1) }},
 		"group":            {refusal.Malformed, func(m *peerpb.RelayRequest) { m.Items[0].Group = strings.Repeat("x", maxNameBytes+1) }},
-		"items":            {refusal.Malformed, func(m *peerpb.RelayRequest) { m.Items = make([]*peerpb.RelayItem, maxItems+1) }},
+		"items":            {refusal.Malformed, func(m *peerpb.RelayRequest) { m.Items = make([]*peerpb.RelayItem, MaxItems+1) }},
 		"nil item":         {refusal.Malformed, func(m *peerpb.RelayRequest) { m.Items[0] = nil }},
 	} {
 		m := good()
--- a/peer/request.go
+++ b/peer/request.go
@@ -9,8 +9,10 @@
 	"medlaryard.example/medlaryard/shard"
 )
 
+// MaxItems is the maximum number of sub-requests or results in a message.
+const MaxItems = 4096
+
 const (
-	maxItems     = 4096  // Maximum number of sub-requests or results in a message.
 	maxNameBytes = 512   // Limit for an identifier, owner, class, service, route, shard or group.
 	maxHits      = 10000 // Maximum number of hits in a result.
 )
@@ -90,8 +92,8 @@
 		}
 	}
 	switch {
-	case len(in.Items) > maxItems:
-		return refusal.New(refusal.Malformed, "relay request has %d items, the limit is %d", len(in.Items), maxItems)
+	case len(in.Items) > MaxItems:
+		return refusal.New(refusal.Malformed, "relay request has %d items, the limit is %d", len(in.Items), MaxItems)
 	case in.Limit > maxHits:
 		return refusal.New(refusal.Malformed, "relay request asks for %d hits, the limit is %d", in.Limit, maxHits)
 	case !catalogue.Class(in.Class).Valid():
--- a/peer/result.go
+++ b/peer/result.go
@@ -22,8 +22,8 @@
 // Results returns the results in a message. It returns a refusal of kind
 // refusal.BadReply if the message exceeds a limit.
 func Results(in *peerpb.RelayReply) ([]shard.Result, error) {
-	if len(in.Results) > maxItems {
-		return nil, refusal.New(refusal.BadReply, "relay reply has %d results, the limit is %d", len(in.Results), maxItems)
+	if len(in.Results) > MaxItems {
+		return nil, refusal.New(refusal.BadReply, "relay reply has %d results, the limit is %d", len(in.Results), MaxItems)
 	}
 	results := make([]shard.Result, 0, len(in.Results))
 	for _, m := range in.Results {
--- a/peer/server.go
+++ b/peer/server.go
@@ -18,7 +18,7 @@
 // NewServer returns a Server that dispatches calls to h.
 func NewServer(h Handlers, opts ...Option) *Server {
 	cfg := newConfig(opts)
-	return &Server{cfg: cfg, twirp: clientbudget.Handler(peerpb.NewPeerServer(service{h}), int(cfg.maxMessageBytes))}
+	return &Server{cfg: cfg, twirp: clientbudget.Handler(peerpb.NewPeerServer(service{h}), int(cfg.maxMessageBytes), clientbudget.Decoding(decodingAllocation))}
 }
 
 // ServeHTTP checks the shared key, the encoding and the size of a request before
--- a/standin/clientload/returning_test.go
+++ b/standin/clientload/returning_test.go
@@ -7,6 +7,10 @@
 	"strings"
 	"testing"
 	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"medlaryard.example/medlaryard/peer/peerpb"
 )
 
 // Guards against clients that come back as soon as they are closed, and thereby make
@@ -38,10 +42,17 @@
 	}
 }
 
+// relayItems is the number of items in a call of a peer. An item takes two bytes encoded.
+const relayItems = 1 << 19
+
 // Guards against the same at a daemon of the product's own interface, and against a
 // listener that ends when the process has no descriptors left.
 func TestReturningClientsOfServe(t *testing.T) {
 	binary := build(t)
+	relay, err := proto.Marshal(&peerpb.RelayRequest{Items: make([]*peerpb.RelayItem, relayItems)})
+	if err != nil {
+		t.Fatal(err)
+	}
 	query := fmt.Sprintf(`{"id":"a","owner":"o","class":"idempotent","service":"s","route":"r","body":%q}`, strings.Repeat("a", 1<<20-200))
 	for _, c := range []struct {
 		name, port string
@@ -49,6 +60,7 @@
 		fds        int
 	}{
 		{"large queries", "28104", post("/v1/query", "", fmt.Sprintf("Content-Length: %d", len(query)), query), crowdFDs},
+		{"calls of peers with many items", "27380", post("/twirp/medlaryard.peer.Peer/Relay", "Content-Type: application/protobuf\r\n", fmt.Sprintf("Content-Length: %d", len(relay)), string(relay)), crowdFDs},
 		{"nothing, few descriptors", "28104", silent, 300},
 		{"nothing to the listener of peers, few descriptors", "27380", silent, 300},
 	} {
