clientbudget: a closed connection stops waiting for the heap

Callers: a connection that the budget had closed kept what it held for as long as it waited for room in the heap, up to 1 s, so that others were refused meanwhile.

Change: closing a connection ends its wait.

--- a/clientbudget/budget.go
+++ b/clientbudget/budget.go
@@ -261,7 +261,7 @@
 // AdmitAllocation waits until the heap has room for n bytes that are allocated at once.
 // It returns false if there is none in time.
 func (b *Budget) AdmitAllocation(n int) bool {
-	if !b.heap.wait(int64(n), false, maxHeapWait) {
+	if !b.heap.wait(int64(n), false, maxHeapWait, nil) {
 		return false
 	}
 	b.heap.done(int64(n))
@@ -296,6 +296,9 @@
 		c.listener.evicted++
 	}
 	b.closing += c.held
+	if c.cut != nil {
+		close(c.cut)
+	}
 	b.count(why)
 	go c.abort() // Waits until the connection is not in use.
 }
--- a/clientbudget/conn.go
+++ b/clientbudget/conn.go
@@ -42,6 +42,8 @@
 	admitted  atomic.Int64 // Admitted by the heap limiter and not known to be allocated.
 	waited    atomic.Int64 // Nanoseconds that the request has waited for room in the heap.
 
+	cut chan struct{} // Closed when the budget closes the connection.
+
 	// The budget's lock guards the fields below.
 	usage
 	evicted bool // The budget has closed the connection.
@@ -149,7 +151,7 @@
 	if !small {
 		limit -= time.Duration(c.waited.Load())
 	}
-	room := b.heap.wait(n, small, limit)
+	room := b.heap.wait(n, small, limit, c.cut)
 	c.waited.Add(int64(b.clock.Now().Sub(began)))
 	if room {
 		c.admitted.Add(n)
--- a/clientbudget/heaplimiter.go
+++ b/clientbudget/heaplimiter.go
@@ -60,8 +60,9 @@
 
 // wait delays an allocation of n bytes until the heap has room for it. It returns
 // false if there is none within the given time; small allocations, those of connections
-// and usual requests, are then permitted all the same.
-func (g *heapLimiter) wait(n int64, small bool, limit time.Duration) bool {
+// and usual requests, are then permitted all the same. It also returns false when cut is
+// closed.
+func (g *heapLimiter) wait(n int64, small bool, limit time.Duration, cut <-chan struct{}) bool {
 	if !small && n > max(g.bound, g.step) {
 		return false // There is never room.
 	}
@@ -82,6 +83,8 @@
 				g.force(n)
 				return true
 			}
+		case <-cut:
+			return false
 		case <-timeout:
 			if small {
 				g.force(n)
--- a/clientbudget/heaplimiter_test.go
+++ b/clientbudget/heaplimiter_test.go
@@ -36,13 +36,13 @@
 	f.heap = f.bound - 3<<20
 	var got []int
 	for range 4 {
-		if !f.wait(1<<20, false, maxHeapWait) {
+		if !f.wait(1<<20, false, maxHeapWait, nil) {
 			t.Fatal("an allocation is refused although garbage can be collected")
 		}
 		got = append(got, f.collections)
 	}
 	f.done(4 << 20) // The heap is not read again, so these bytes count.
-	if !f.wait(f.bound-5<<20, false, maxHeapWait) {
+	if !f.wait(f.bound-5<<20, false, maxHeapWait, nil) {
 		t.Fatal("an allocation within the bound is refused")
 	}
 	if diff := cmp.Diff([]int{0, 0, 0, 1}, got); diff != "" {
@@ -56,7 +56,7 @@
 	f := newLimiterFixture()
 	f.heap, f.inUse = 90e6, 90e6
 	for i := range 6 {
-		if !f.wait(f.step, false, maxHeapWait) {
+		if !f.wait(f.step, false, maxHeapWait, nil) {
 			t.Fatalf("allocation %d is refused", i)
 		}
 		f.done(f.step)
@@ -74,11 +74,11 @@
 	f := newLimiterFixture()
 	f.heap, f.inUse = 90e6, 90e6
 	f.force(f.step) // Admitted, and never allocated.
-	if !f.wait(1<<10, true, maxHeapWait) {
+	if !f.wait(1<<10, true, maxHeapWait, nil) {
 		t.Error("a small allocation is refused")
 	}
 	done := make(chan bool)
-	go func() { done <- f.wait(1<<20, false, maxHeapWait) }()
+	go func() { done <- f.wait(1<<20, false, maxHeapWait, nil) }()
 	for {
 		f.clock.Advance(maxHeapWait)
 		select {
--- a/clientbudget/listener.go
+++ b/clientbudget/listener.go
@@ -84,8 +84,8 @@
 		if d := l.budget.acceptDelay(); d > 0 {
 			_ = clock.Sleep(context.Background(), l.budget.clock, d) // Never ends early.
 		}
-		l.budget.heap.wait(connBytes, true, maxHeapWait)
-		c := &Conn{Conn: nc, budget: l.budget, listener: l, headLimit: l.headLimit}
+		l.budget.heap.wait(connBytes, true, maxHeapWait, nil)
+		c := &Conn{Conn: nc, budget: l.budget, listener: l, headLimit: l.headLimit, cut: make(chan struct{})}
 		c.admitted.Store(connBytes)
 		if l.budget.add(c) {
 			l.budget.opened()
