clientbudget: connections that are closed do not count until their servers notice

Cause: net/http waits for 500 ms before it closes a connection after a refusal. When the budget closed such a connection, it counted as open for that time, although its descriptor was free, and new connections were refused.

Change: a connection counts until its descriptor is closed. What its server has not closed yet may be twice the limit, and is counted with its memory as before.

--- a/clientbudget/budget.go
+++ b/clientbudget/budget.go
@@ -23,6 +23,9 @@
 	// connections are accepted and usual requests read while others are being closed.
 	smallOvershoot = 1.5
 	smallBytes     = connBytes
+	// maxUnclosed bounds the connections, in multiples of the limit, that their servers
+	// have not closed yet although the budget has.
+	maxUnclosed = 2
 	// largeBytes is the size from which the body of a request is refused before it
 	// is read if there is no room for all of it.
 	largeBytes = 64 << 10
@@ -32,6 +35,12 @@
 	logInterval = 10 * time.Second
 )
 
+// connCount counts connections.
+type connCount struct {
+	open    int // Those whose descriptors are in use.
+	evicted int // Those of them that are being closed.
+}
+
 // Budget bounds what is held for the clients of all listeners. It is safe for
 // concurrent use.
 type Budget struct {
@@ -44,11 +53,11 @@
 	shared func() int // Descriptors that targets take.
 	opened func()     // Called after a connection was accepted.
 
-	mu       sync.Mutex
-	conns    map[*Conn]struct{}
-	held     int64 // Sum over conns.
-	closing  int64 // Part of held whose connections are being closed.
-	evicted  int   // Connections that are being closed.
+	mu sync.Mutex
+	connCount
+	conns    map[*Conn]struct{} // Until their servers have closed them.
+	held     int64              // Sum over conns.
+	closing  int64              // Part of held whose connections are being closed.
 	paused   time.Duration
 	sweptAt  time.Duration
 	loggedAt time.Duration
@@ -78,7 +87,7 @@
 func (b *Budget) Connections() int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return len(b.conns)
+	return b.open
 }
 
 // now returns the time of the budget, which stands still while the process is
@@ -99,11 +108,12 @@
 	now := b.now()
 	total, _ := b.limits.Descriptors()
 	limit := max(1, min(b.limits.connections, total-b.shared()))
-	if n := len(b.conns) - b.evicted - limit + 1; n > 0 {
+	if n := b.open - b.evicted - limit + 1; n > 0 {
 		b.evictWorst(n+int(freeFraction*float64(limit)), now, nil)
 	}
 	// Descriptors are free only when their connections are closed.
-	if len(b.conns) >= min(int(overshoot*float64(limit)), max(1, total-b.shared())) || len(b.conns)-b.evicted >= limit || !b.makeRoomAt(c.listener, now) {
+	full := b.open >= min(int(overshoot*float64(limit)), max(1, total-b.shared())) || b.open-b.evicted >= limit
+	if full || len(b.conns) >= maxUnclosed*limit || !b.makeRoomAt(c.listener, now) {
 		b.count(connections)
 		return false
 	}
@@ -114,8 +124,8 @@
 		return false
 	}
 	b.conns[c] = struct{}{}
-	if c.listener != nil {
-		c.listener.open++
+	for _, n := range c.counts() {
+		n.open++
 	}
 	return true
 }
@@ -152,7 +162,7 @@
 	if b.evicted > 0 {
 		return // Their descriptors are about to be free.
 	}
-	b.evictWorst(1+int(freeFraction*float64(len(b.conns))), b.now(), nil)
+	b.evictWorst(1+int(freeFraction*float64(b.open)), b.now(), nil)
 }
 
 // remove releases what a connection holds.
@@ -162,17 +172,11 @@
 	if _, ok := b.conns[c]; !ok {
 		return
 	}
+	c.releaseDescriptor()
 	delete(b.conns, c)
 	b.held -= c.held
 	if c.evicted {
 		b.closing -= c.held
-		b.evicted--
-	}
-	if l := c.listener; l != nil {
-		l.open--
-		if c.evicted {
-			l.evicted--
-		}
 	}
 	c.held, c.removed = 0, true
 }
@@ -291,9 +295,8 @@
 // evict closes a connection. What it holds is released when its goroutine ends.
 func (b *Budget) evict(c *Conn, why reason) {
 	c.evicted = true
-	b.evicted++
-	if c.listener != nil {
-		c.listener.evicted++
+	for _, n := range c.counts() {
+		n.evicted++
 	}
 	b.closing += c.held
 	if c.cut != nil {
@@ -325,7 +328,7 @@
 		}
 	}
 	if (len(b.closed) > 0 || b.refused > 0) && now-b.loggedAt >= logInterval {
-		e := b.log.Warn().Int("connections", len(b.conns)).Int64("held_bytes", b.held).Int64("limit_bytes", b.limits.bytes).Int("refused", b.refused)
+		e := b.log.Warn().Int("connections", b.open).Int64("held_bytes", b.held).Int64("limit_bytes", b.limits.bytes).Int("refused", b.refused)
 		for why, n := range b.closed {
 			e = e.Int("closed_"+string(why), n)
 		}
@@ -339,7 +342,7 @@
 func (b *Budget) UpdateGauges() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	meter.Gauge("clients.connections", int64(len(b.conns)))
+	meter.Gauge("clients.connections", int64(b.open))
 	meter.Gauge("clients.connections_limit", int64(b.limits.connections))
 	meter.Gauge("clients.held_bytes", b.held)
 	meter.Gauge("clients.held_bytes_limit", b.limits.bytes)
--- a/clientbudget/conn.go
+++ b/clientbudget/conn.go
@@ -47,6 +47,7 @@
 	// The budget's lock guards the fields below.
 	usage
 	evicted bool // The budget has closed the connection.
+	closed  bool // Its descriptor is not in use any more.
 	removed bool // The connection is no longer counted.
 	head    headScan
 	last    int64 // Memory for the last bytes read, if they are a head. The next one may be among them.
@@ -284,10 +285,37 @@
 	return n
 }
 
-// abort closes the connection at once and discards what its client has not taken.
+// abort closes the connection at once and discards what its client has not taken. Its
+// server may close it later: net/http waits after a refusal, so that the client gets it.
 func (c *Conn) abort() {
 	if t, ok := c.Conn.(*net.TCPConn); ok {
 		_ = t.SetLinger(0) // Fails if the connection is closed.
 	}
 	_ = c.Conn.Close() // As above.
+	c.budget.mu.Lock()
+	defer c.budget.mu.Unlock()
+	c.releaseDescriptor()
+}
+
+// counts returns where the connection is counted.
+func (c *Conn) counts() []*connCount {
+	counts := []*connCount{&c.budget.connCount}
+	if c.listener != nil {
+		counts = append(counts, &c.listener.connCount)
+	}
+	return counts
+}
+
+// releaseDescriptor ends the count of the connection. The caller holds the budget's lock.
+func (c *Conn) releaseDescriptor() {
+	if c.closed {
+		return
+	}
+	c.closed = true
+	for _, n := range c.counts() {
+		n.open--
+		if c.evicted {
+			n.evicted--
+		}
+	}
 }
--- a/clientbudget/listener.go
+++ b/clientbudget/listener.go
@@ -63,9 +63,7 @@
 	headLimit func() int
 	limit     int // Of its connections; 0 if there is none.
 
-	// The budget's lock guards the fields below.
-	open    int // Its connections.
-	evicted int // Those of them that are being closed.
+	connCount // Of its connections; the budget's lock guards it.
 }
 
 // Accept implements net.Listener. It closes connections for which there is no room.
