protosize, node: decoding a call of a daemon waits for room in the heap

Operators of node: calls to the peers' listener with 6,000 versions, within its bound of 64 KiB, took 88 MB with memory_mb 64 (400 returning clients, TestReturningClients, calls of peers with many versions).

Cause: as at the peers' listener of serve, only the encoded size was bounded.

Change: what package peer computed of a call is package protosize now, which node uses for the calls for changes and usage counts too. The end of a request also ends what was admitted for it, in case its handler did not decode it.

--- a/clientbudget/request.go
+++ b/clientbudget/request.go
@@ -48,6 +48,7 @@
 	if c == nil {
 		return
 	}
+	c.noteAllocated()
 	// The begin of the next head may have been read with the end of this request.
 	if next := c.release(); !c.waitForHead(next) {
 		c.failed.Store(true)
--- a/mirror/rpc.go
+++ b/mirror/rpc.go
@@ -8,6 +8,7 @@
 	"github.com/klauspost/compress/gzhttp"
 	"github.com/rotisserie/eris"
 
+	"medlaryard.example/medlaryard/clientbudget"
 	"medlaryard.example/medlaryard/mirror/mirrorpb"
 )
 
@@ -30,7 +31,8 @@
 type rpcService struct{ mirror *Mirror }
 
 // Changes implements the Changes method of the Mirror service.
-func (s rpcService) Changes(_ context.Context, r *mirrorpb.ChangesRequest) (*mirrorpb.ChangesReply, error) {
+func (s rpcService) Changes(ctx context.Context, r *mirrorpb.ChangesRequest) (*mirrorpb.ChangesReply, error) {
+	clientbudget.FromContext(ctx).NoteAllocated()
 	reply := &mirrorpb.ChangesReply{}
 	versions := NewVersions(r.GetEra(), r.GetVersions(), r.GetOlderEras())
 	if r.Era == nil && !s.mirror.eras.wasRestored() {
--- a/node/listen.go
+++ b/node/listen.go
@@ -13,6 +13,7 @@
 	"medlaryard.example/medlaryard/meter"
 	"medlaryard.example/medlaryard/mirror"
 	"medlaryard.example/medlaryard/platform"
+	"medlaryard.example/medlaryard/protosize"
 )
 
 // listen opens all listeners before any background work starts.
@@ -39,7 +40,7 @@
 		{d.settings.ReadyAddress(), clientbudget.Handler(platform.ReadinessHandler(d.ready), maxInternalBody), internalHeadLimit},
 		{d.settings.DirectoryAddress(), clientbudget.Handler(platform.DirectoryHandler(d.addresses, d.settings.AddressTTL()), maxInternalBody), internalHeadLimit},
 		{d.settings.OperatorsAddress(), clientbudget.Handler(operatorsHandler(d.updateGauges, previewHandler(d.engine, d.settings.Placement())), maxInternalBody), internalHeadLimit},
-		{d.settings.PeerAddress(), clientbudget.Handler(peerHandler, maxInternalBody), internalHeadLimit},
+		{d.settings.PeerAddress(), clientbudget.Handler(peerHandler, maxInternalBody, clientbudget.Decoding(protosize.OfCall)), internalHeadLimit},
 	} {
 		if err := d.serve(l.address, l.handler, l.headLimit); err != nil {
 			return err
--- a/peer/server.go
+++ b/peer/server.go
@@ -7,6 +7,7 @@
 	"medlaryard.example/medlaryard/clientbudget"
 	"medlaryard.example/medlaryard/meter"
 	"medlaryard.example/medlaryard/peer/peerpb"
+	"medlaryard.example/medlaryard/protosize"
 )
 
 // Server is the http.Handler for calls of other daemons.
@@ -18,7 +19,7 @@
 // NewServer returns a Server that dispatches calls to h.
 func NewServer(h Handlers, opts ...Option) *Server {
 	cfg := newConfig(opts)
-	return &Server{cfg: cfg, twirp: clientbudget.Handler(peerpb.NewPeerServer(service{h}), int(cfg.maxMessageBytes), clientbudget.Decoding(decodingAllocation))}
+	return &Server{cfg: cfg, twirp: clientbudget.Handler(peerpb.NewPeerServer(service{h}), int(cfg.maxMessageBytes), clientbudget.Decoding(protosize.OfCall))}
 }
 
 // ServeHTTP checks the shared key, the encoding and the size of a request before
--- a/peer/decoding.go
+++ b/protosize/size.go
@@ -1,4 +1,4 @@
-package peer
+package protosize
 
 import (
 	"net/http"
@@ -6,13 +6,12 @@
 
 	"google.golang.org/protobuf/encoding/protowire"
 	"google.golang.org/protobuf/reflect/protoreflect"
-
-	"medlaryard.example/medlaryard/peer/peerpb"
+	"google.golang.org/protobuf/reflect/protoregistry"
 )
 
 const (
 	// readAllocation is how many times its size is allocated to read a message into a
-	// buffer that grows, as the generated server does.
+	// buffer that grows, as generated servers do.
 	readAllocation = 5
 	// messageBytes bounds the memory of one message without its strings and lists. The
 	// largest is a result of a relay.
@@ -22,15 +21,23 @@
 	elementBytes = 96
 )
 
-// decodingAllocation returns a bound of what is allocated to decode the body of a call.
-// An empty message takes two bytes encoded, so that its size alone is no bound.
-func decodingAllocation(r *http.Request, body []byte) int {
-	service := peerpb.File_peer_peerpb_peer_proto.Services().ByName("Peer")
-	method := service.Methods().ByName(protoreflect.Name(path.Base(r.URL.Path)))
-	if method == nil {
-		return 0 // It is refused before its body is read.
+// OfCall returns a bound of what is allocated to read and decode the body of a Twirp call
+// in bytes, or 0 if there is no such method.
+func OfCall(r *http.Request, body []byte) int {
+	dir, method := path.Split(r.URL.Path)
+	d, err := protoregistry.GlobalFiles.FindDescriptorByName(protoreflect.FullName(path.Base(dir)))
+	if err != nil {
+		return 0
+	}
+	service, ok := d.(protoreflect.ServiceDescriptor)
+	if !ok {
+		return 0
+	}
+	m := service.Methods().ByName(protoreflect.Name(method))
+	if m == nil {
+		return 0
 	}
-	return readAllocation*len(body) + decodedSize(method.Input(), body)
+	return readAllocation*len(body) + decodedSize(m.Input(), body)
 }
 
 // decodedSize returns a bound of the memory that a message takes when it is decoded, or
--- a/standin/clientload/returning_test.go
+++ b/standin/clientload/returning_test.go
@@ -10,6 +10,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"medlaryard.example/medlaryard/mirror/mirrorpb"
 	"medlaryard.example/medlaryard/peer/peerpb"
 )
 
@@ -18,6 +19,14 @@
 // to targets than it has descriptors.
 func TestReturningClients(t *testing.T) {
 	binary := build(t)
+	versions := make(map[string]uint64)
+	for i := range 6000 {
+		versions[fmt.Sprintf("%04x", i)] = 1
+	}
+	changes, err := proto.Marshal(&mirrorpb.ChangesRequest{Versions: versions})
+	if err != nil {
+		t.Fatal(err)
+	}
 	const whole, pieces, small = "Content-Length: 262144", "Transfer-Encoding: chunked", "Content-Length: 65536"
 	for _, c := range []struct {
 		name, port string
@@ -34,6 +43,7 @@
 		{"listener of the directory", "28100", post("/api/resolve", linesWithoutValue(), small, body(64<<10))},
 		{"listener of operators", "28106", post("/metrics", linesWithoutValue(), small, body(64<<10))},
 		{"listener of peers", "27380", post("/twirp/medlaryard.mirror.Mirror/Changes", linesWithoutValue(), small, body(64<<10))},
+		{"calls of peers with many versions", "27380", post("/twirp/medlaryard.mirror.Mirror/Changes", "Content-Type: application/protobuf\r\n", fmt.Sprintf("Content-Length: %d", len(changes)), string(changes))},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			n := startNode(t, binary, crowdMemoryMB, crowdFDs)
--- a/usage/rpc.go
+++ b/usage/rpc.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 
+	"medlaryard.example/medlaryard/clientbudget"
 	"medlaryard.example/medlaryard/usage/usagepb"
 )
 
@@ -18,7 +19,8 @@
 type rpcService struct{ merge func(Source, Update) }
 
 // Send implements the Send method of the Counts service.
-func (s rpcService) Send(_ context.Context, r *usagepb.SendRequest) (*usagepb.SendReply, error) {
+func (s rpcService) Send(ctx context.Context, r *usagepb.SendRequest) (*usagepb.SendReply, error) {
+	clientbudget.FromContext(ctx).NoteAllocated()
 	u := Update{Since: r.GetSince(), Confirmed: r.GetConfirmed(), Change: r.GetChange()}
 	for _, w := range r.GetWindows() {
 		for _, a := range w.GetAccounts() {
