node: the bound of evidence has room for services with several routes

Operators: 1,000 moves of services with more than one route, each seen by 18 daemons, would have exceeded the bound of (16 MiB, 768 bytes for each route).

Change: 32 MiB, of which daemons that are not registered in the store may take an eighth, as many bytes as before.

--- a/node/evidence.go
+++ b/node/evidence.go
@@ -13,11 +13,11 @@
 
 const (
 	// maxEvidenceBytes bounds the memory of the evidence of all other daemons. That of 18
-	// daemons on 1,000 moves of services with one route takes 15 MB.
-	maxEvidenceBytes = 16 << 20
+	// daemons on 1,000 moves of services with two routes takes 30 MB.
+	maxEvidenceBytes = 32 << 20
 	// unregisteredFraction is the part of it that daemons may take that are not
 	// registered in the store.
-	unregisteredFraction = 0.25
+	unregisteredFraction = 0.125
 	// evidenceBytes is the memory of the evidence on a service with one route, beyond its
 	// strings. Each further route takes less.
 	evidenceBytes = 768
