--- a/readbudget/response.go
+++ b/readbudget/response.go
@@ -2,10 +2,11 @@
 
 import (
 	"bufio"
-	"io"
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"medlaryard.example/medlaryard/response"
 )
 
 // maxWait is how long a large answer waits until the answers before it are read.
@@ -19,40 +20,12 @@
 // A body of known length is read only when there is room for all of it, because its
 // buffer is allocated at once.
 func (r *Reader) ReadResponse(resp *fasthttp.Response, br *bufio.Reader, maxBody int) error {
-	withoutBody := resp.SkipBody
-	resp.SkipBody = true
-	err := resp.ReadLimitBody(br, maxBody)
-	resp.SkipBody = withoutBody
-	if err != nil || withoutBody || !mayHaveBody(resp.StatusCode()) {
-		return err
-	}
-	length := resp.Header.ContentLength()
-	if length > maxBody {
-		return fasthttp.ErrBodyTooLarge
-	}
-	if !r.reserve(length) {
-		return errSpent
-	}
-	if err := resp.ReadBody(br, maxBody); err != nil {
-		return err
-	}
-	if length != chunked {
-		return nil
-	}
-	if err := resp.Header.ReadTrailer(br); err != nil {
-		if err == io.EOF {
-			return io.ErrUnexpectedEOF
+	return response.ReadFinal(resp, br, maxBody, func(length int) error {
+		if !r.reserve(length) {
+			return errSpent
 		}
-		return err
-	}
-	return nil
-}
-
-// chunked is the length by which fasthttp marks a body in chunks.
-const chunked = -1
-
-func mayHaveBody(status int) bool {
-	return status >= 200 && status != fasthttp.StatusNoContent && status != fasthttp.StatusNotModified
+		return nil
+	})
 }
 
 // reserve takes what n more bytes of the current answer count. It waits until there
--- a/response/read.go
+++ b/response/read.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"errors"
 	"fmt"
+	"io"
 
 	"github.com/valyala/fasthttp"
 )
@@ -21,7 +22,53 @@
 	if err := SkipInterim(r); err != nil {
 		return err
 	}
-	return resp.ReadLimitBody(r, maxBody)
+	return ReadFinal(resp, r, maxBody, func(int) error { return nil })
+}
+
+// ErrLength means that the length of a body is not certain.
+var ErrLength = errors.New("answer of a version other than HTTP/1.1 without a length")
+
+// chunked is the length by which fasthttp marks a body in chunks.
+const chunked = -1
+
+// ReadFinal reads an answer after SkipInterim. It calls reserve with the length of the
+// body, which is negative if it is not known, before the body is read, and fails with
+// the error that reserve returns.
+//
+// fasthttp ignores Transfer-Encoding unless the version is exactly HTTP/1.1, and would
+// take chunks as they were sent, up to the end of the connection, for the body.
+func ReadFinal(resp *fasthttp.Response, r *bufio.Reader, maxBody int, reserve func(length int) error) error {
+	withoutBody := resp.SkipBody
+	resp.SkipBody = true
+	err := resp.ReadLimitBody(r, maxBody)
+	resp.SkipBody = withoutBody
+	if err != nil || withoutBody || !mayHaveBody(resp.StatusCode()) {
+		return err
+	}
+	length := resp.Header.ContentLength()
+	switch {
+	case length < 0 && !resp.Header.IsHTTP11():
+		return ErrLength
+	case length > maxBody:
+		return fasthttp.ErrBodyTooLarge
+	}
+	if err := reserve(length); err != nil {
+		return err
+	}
+	if err := resp.ReadBody(r, maxBody); err != nil || length != chunked {
+		return err
+	}
+	if err := resp.Header.ReadTrailer(r); err != nil {
+		if err == io.EOF {
+			return io.ErrUnexpectedEOF
+		}
+		return err
+	}
+	return nil
+}
+
+func mayHaveBody(status int) bool {
+	return status >= 200 && status != fasthttp.StatusNoContent && status != fasthttp.StatusNotModified
 }
 
 // SkipInterim reads the interim responses before an answer. It fails with ErrStatus
--- a/response/read_test.go
+++ b/response/read_test.go
@@ -35,6 +35,31 @@
 	}
 }
 
+// Guards against chunks that are passed on as they were sent, or a part of a body that is
+// taken for all of it, because of the version in the status line.
+func TestReadLength(t *testing.T) {
+	const chunks = "\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"
+	for answer, want := range map[string]string{
+		"HTTP/1.1 200 OK" + chunks:                            "ok",
+		"HTTP/1.1 200 OK\r\n\r\nok":                           "ok",
+		"HTTP/1.0 200 OK\r\nContent-Length: 2\r\n\r\nok":      "ok",
+		"HTTP/1.0 204 No Content\r\n\r\n":                     "",
+		"HTTP/1.0 200 OK" + chunks:                            ErrLength.Error(),
+		"HTTP/1.9 200 OK" + chunks:                            ErrLength.Error(),
+		"HTTP/1.0 200 OK\r\n\r\nok":                           ErrLength.Error(),
+		"HTTP/1.9 200 OK" + chunks[:len(chunks)-len("0\r\n")]: ErrLength.Error(),
+	} {
+		resp, err := read(answer)
+		got := string(resp.Body())
+		if err != nil {
+			got = err.Error()
+		}
+		if got != want {
+			t.Errorf("%q: %q, want %q", answer, got, want)
+		}
+	}
+}
+
 // Guards against a reader that does not end: with interim responses or empty lines
 // without end, or a response that is cut off anywhere.
 func TestReadEnds(t *testing.T) {
@@ -75,6 +100,10 @@
 			if zero := bytes.Contains(answer, []byte("000")); wantErr == nil && IsFinal(want.StatusCode()) && (want.StatusCode() != fasthttp.StatusOK || !zero) {
 				t.Errorf("rejected (%v), status %d for fasthttp", err, want.StatusCode())
 			}
+		case errors.Is(err, ErrLength):
+			if got.Header.IsHTTP11() {
+				t.Errorf("rejected (%v), version %s", err, got.Header.Protocol())
+			}
 		case (err == nil) != (wantErr == nil):
 			t.Errorf("error %v, fasthttp's error %v", err, wantErr)
 		case err == nil && (!IsFinal(got.StatusCode()) || got.String() != want.String()):
