--- a/review/stand-3/moves.go
+++ b/review/stand-3/moves.go
@@ -63,18 +63,8 @@
 	return all, nil
 }
 
-// playMoves orders a bad version v2. Before, with the disruption, the operator has moved
-// the service to v2, which was good then, and back to v1.
-func playMoves(l *lab) error {
-	store, err := l.serve(l.store.Handler())
-	if err != nil {
-		return err
-	}
-	l.putConfig(1, []map[string]any{route("r1", "/play/", "non_idempotent", "ledger", 2*time.Second, 400*time.Millisecond, 1)}, "ledger")
-	old, err := l.generation("first-v1", "v1")
-	if err != nil {
-		return err
-	}
+// startDaemons starts three daemons and waits until they are ready.
+func (l *lab) startDaemons(store string) error {
 	for i, zone := range []string{"zone-a", "zone-b", "zone-c"} {
 		d, err := l.newDaemon(i+1, zone, store, nil)
 		if err != nil {
@@ -89,6 +79,40 @@
 			return err
 		}
 	}
+	return nil
+}
+
+// runsBetween counts the requests that began to run in a time, and those at a version.
+func (l *lab) runsBetween(version string, from, to time.Time) (all, at int) {
+	for _, s := range l.searchers {
+		for _, r := range s.began() {
+			if r.at.Before(from) || r.at.After(to) {
+				continue
+			}
+			all++
+			if s.version == version {
+				at++
+			}
+		}
+	}
+	return all, at
+}
+
+// playMoves orders a bad version v2. Before, with the disruption, the operator has moved
+// the service to v2, which was good then, and back to v1.
+func playMoves(l *lab) error {
+	store, err := l.serve(l.store.Handler())
+	if err != nil {
+		return err
+	}
+	l.putConfig(1, []map[string]any{route("r1", "/play/", "non_idempotent", "ledger", 2*time.Second, 400*time.Millisecond, 1)}, "ledger")
+	old, err := l.generation("first-v1", "v1")
+	if err != nil {
+		return err
+	}
+	if err := l.startDaemons(store); err != nil {
+		return err
+	}
 	stop := make(chan struct{})
 	var wg sync.WaitGroup
 	defer wg.Wait()
@@ -142,18 +166,7 @@
 	state, at := l.order("v2", old, bad)
 	close(stop)
 	wg.Wait()
-	all, toBad := 0, 0
-	for _, s := range l.searchers {
-		for _, r := range s.began() {
-			if r.at.Before(at) || r.at.After(at.Add(orderDuration)) {
-				continue
-			}
-			all++
-			if s.fails != nil {
-				toBad++
-			}
-		}
-	}
+	all, toBad := l.runsBetween("v2", at, at.Add(orderDuration))
 	l.note("clients' statuses: %v", statuses)
 	limit := canaryShare*float64(all) + canarySlack
 	l.note("between the order and its deadline the bad version got %d of %d requests, %.0f are permitted; its last state is %s", toBad, all, limit, state)
--- a/review/stand-3/searcher.go
+++ b/review/stand-3/searcher.go
@@ -24,6 +24,8 @@
 	sequence int
 	runs     []run
 	fails    func(n int) bool // Reports whether the n-th run ends with status 500; nil if none does.
+	slows    func(n int) bool // Reports whether the n-th run takes slowWork; nil if none does.
+	slowWork time.Duration
 	server   *http.Server
 }
 
@@ -67,6 +69,20 @@
 	s.lab.note("searcher %s (%s %s) stops", s.id, s.service, s.version)
 }
 
+// setWork sets how long a run takes.
+func (s *searcher) setWork(d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.work = d
+}
+
+// slow makes the runs for which slows returns true take d.
+func (s *searcher) slow(slows func(n int) bool, d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.slows, s.slowWork = slows, d
+}
+
 func (s *searcher) began() []run {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -98,10 +114,14 @@
 	s.runs = append(s.runs, run{id: id, at: time.Now()})
 	n := len(s.runs)
 	failing := s.fails != nil && s.fails(n)
+	work := s.work
+	if s.slows != nil && s.slows(n) {
+		work = s.slowWork
+	}
 	s.mu.Unlock()
 	s.lab.note("  %s (%s %s) runs %s %s", s.id, s.service, s.version, id, r.URL.Path)
 	select {
-	case <-time.After(s.work):
+	case <-time.After(work):
 	case <-r.Context().Done():
 		return
 	}
