--- a/review/stand-3/moves.go
+++ b/review/stand-3/moves.go
@@ -142,7 +142,6 @@
 			if err != nil {
 				return err
 			}
-			time.Sleep(time.Second)
 			if state, _ := l.order(version, old, next); state != "completed" {
 				return fmt.Errorf("the good version %s is %q after its deadline", version, state)
 			}
@@ -162,7 +161,6 @@
 		s.fails = func(n int) bool { return n%2 == 0 }
 		s.mu.Unlock()
 	}
-	time.Sleep(time.Second)
 	state, at := l.order("v2", old, bad)
 	close(stop)
 	wg.Wait()
--- a/review/stand-3/slowversion.go
+++ b/review/stand-3/slowversion.go
@@ -69,7 +69,6 @@
 			s.slow(func(n int) bool { return n*7%20 < slowPart }, slowFactor*usualWork)
 		}
 	}
-	time.Sleep(time.Second)
 	state, at := l.order("v2", old, next)
 	time.Sleep(2 * time.Second)
 	close(stop)
