review: case 14, requests with large bodies are refused on used connections

A small request leaves its write deadline on the connection, and the write of a body of 16 KB or more sets none, so that it fails at once with nothing written, up to eight times.

The case adds a route with bodies of 64 KB to a service with small requests.

--- a/review/stand-3/client.go
+++ b/review/stand-3/client.go
@@ -3,6 +3,7 @@
 package main
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"net/http"
@@ -20,6 +21,8 @@
 	sent     time.Time
 	answered time.Time
 	err      error
+
+	retryAfter time.Duration
 }
 
 var requests atomic.Int64
@@ -32,8 +35,13 @@
 
 // send sends one attempt to a daemon and waits for its answer.
 func (l *lab) send(d *daemon, method, path string, deadline time.Duration) answer {
+	return l.sendBody(d, method, path, deadline, nil)
+}
+
+// sendBody sends an attempt with a body.
+func (l *lab) sendBody(d *daemon, method, path string, deadline time.Duration, body []byte) answer {
 	a := answer{id: fmt.Sprintf("q%08x", requests.Add(1)), daemon: d.name, sent: time.Now()}
-	req, err := http.NewRequest(method, "http://"+d.callers+path, http.NoBody)
+	req, err := http.NewRequest(method, "http://"+d.callers+path, bytes.NewReader(body))
 	if err != nil {
 		a.err = err
 		return a
@@ -48,6 +56,8 @@
 		_ = resp.Body.Close() // Read completely, or broken.
 		if err == nil {
 			a.status, a.body = resp.StatusCode, string(body)
+			seconds, _ := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64) // 0 if there is none.
+			a.retryAfter = time.Duration(seconds * float64(time.Second))
 		}
 	}
 	a.err, a.answered = err, time.Now()
--- a/review/stand-3/searcher.go
+++ b/review/stand-3/searcher.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
 	"sync"
 	"time"
@@ -110,6 +111,9 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	if _, err := io.Copy(io.Discard, r.Body); err != nil {
+		return // The request did not arrive completely.
+	}
 	s.mu.Lock()
 	s.runs = append(s.runs, run{id: id, at: time.Now()})
 	n := len(s.runs)
