node: version moves are evaluated apart from the daemon

The evaluation of orders was part of Daemon, so that no test could play several daemons, orders and lost datagrams without starting processes. moveTable holds this state now and is given the time, the orders and the groups; the daemon only passes them on.

--- a/node/daemon.go
+++ b/node/daemon.go
@@ -128,8 +128,7 @@
 	installedAt     time.Duration   // Boot time at which the table was installed.
 
 	expiryTimer   clock.Timer
-	moves         map[string]*moveState // By service.
-	peerEvidence  *peerEvidence
+	moves         *moveTable
 	reportCursors reportCursors
 
 	wg       sync.WaitGroup
@@ -179,7 +178,6 @@
 		fetches:       make(chan string, 1),
 		targetCache:   newTargetCache(l),
 		groups:        make(map[string]*targets.Group),
-		moves:         make(map[string]*moveState),
 		reports:       targets.NewReports(c),
 		notices:       targets.NewNotices(c),
 		readBudget:    readbudget.New(readbudget.Clock(c), readbudget.Memory(s.Memory()), readbudget.Beside(clients.Room), readbudget.AdmitBy(clients.AdmitAllocation), readbudget.PauseWhen(clientbudget.HeapFull(s.Memory()))),
@@ -194,7 +192,7 @@
 	d.mirror.HoldChanged(platform.KindMoves)
 	d.store = platform.NewStore(s.StoreAddress(), d.mirror.Eras())
 	d.serving = newServingSet(c, s.Name(), func(peer string) time.Time { return d.fleet.LastHeartbeat(peer) })
-	d.peerEvidence = newPeerEvidence(d.knows, d.serving.isRegistered)
+	d.moves = newMoveTable(d.moveGroup, newPeerEvidence(d.knows, d.serving.isRegistered), l)
 	d.follower = mirror.NewFollower(d.mirror, d.store.Reader(), c, l, d.shouldWatch, func() bool { return !d.serving.includesSelf() })
 	d.strikes = make(chan struct{}, 1)
 	d.suspects = admission.NewSuspects(c, func([]*peerpb.CrashStrike) { d.announceStrikes() })
--- a/node/restore_test.go
+++ b/node/restore_test.go
@@ -87,7 +87,7 @@
 	completeAt := func(d *runningDaemon) bool {
 		d.daemon.mu.Lock()
 		defer d.daemon.mu.Unlock()
-		return d.daemon.moves["shard0"].completed
+		return d.daemon.moves.moves["shard0"].completed
 	}
 	for _, d := range c.daemons {
 		c.eventually("the state is known to "+d.ip, func() bool { return completeAt(d) })
