standin/shards: a wait of no time sets no timer

Landings were refused because the race detector crashed in tests of targets (SIGSEGV in __tsan::SlotLock, or CHECK failed in tsan_rtl.cpp).

--- a/standin/shards/target.go
+++ b/standin/shards/target.go
@@ -200,7 +200,12 @@
 	return client, nil
 }
 
+// sleep waits for d, or until ctx ends. It sets no timer for a d of 0: the race detector
+// can crash where a timer is due at once in a synctest bubble.
 func sleep(ctx context.Context, d time.Duration) error {
+	if d <= 0 {
+		return ctx.Err()
+	}
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
