--- a/node/evidence.go
+++ b/node/evidence.go
@@ -8,9 +8,6 @@
 	"medlaryard.example/medlaryard/upgrade"
 )
 
-// evidenceKey names a route of a version to which a service moves.
-type evidenceKey struct{ version, route string }
-
 const (
 	// maxEvidenceBytes bounds the memory of the evidence of all other daemons. That of 18
 	// daemons on 1,000 moves of services with two routes takes 30 MB.
@@ -27,14 +24,24 @@
 // it.
 type daemonEvidence struct {
 	incarnation uint64
-	latest      map[string]map[evidenceKey]*mirrorpb.MoveEvidence // By service.
+	latest      map[string]*orderEvidence // By service.
+}
+
+// orderEvidence is the evidence of one other daemon on the latest order that it knows of a
+// service.
+type orderEvidence struct {
+	order   upgrade.OrderID
+	version string
+	routes  map[string]*mirrorpb.MoveEvidence
 }
 
 // size returns the memory that the evidence on a service takes.
 func (e *daemonEvidence) size(service string) int {
 	n := 0
-	for _, w := range e.latest[service] {
-		n += sizeOf(w)
+	if o := e.latest[service]; o != nil {
+		for _, w := range o.routes {
+			n += sizeOf(w)
+		}
 	}
 	return n
 }
@@ -43,6 +50,10 @@
 	return evidenceBytes + len(w.GetService()) + len(w.GetVersion()) + len(w.GetRoute())
 }
 
+func orderOf(w *mirrorpb.MoveEvidence) upgrade.OrderID {
+	return upgrade.NewOrderID(w.GetOrderEra(), w.GetOrderRevision())
+}
+
 // peerEvidence holds the evidence of all other daemons. It is bounded by the known
 // daemons and by maxEvidenceBytes.
 type peerEvidence struct {
@@ -58,7 +69,8 @@
 
 // merge stores evidence that the daemon at a peer address sent. A new sender
 // removes the evidence of the daemons that are not known any more. Evidence for which
-// there is no room is ignored; its sender repeats it.
+// there is no room is ignored; its sender repeats it. That of a daemon which names no order
+// is ignored too, since the version may have been ordered before.
 func (p *peerEvidence) merge(peer string, incarnation uint64, moves []*mirrorpb.MoveEvidence) {
 	e := p.daemons[peer]
 	if e == nil {
@@ -70,7 +82,7 @@
 	}
 	if e == nil || e.incarnation != incarnation {
 		p.remove(peer)
-		e = &daemonEvidence{incarnation: incarnation, latest: make(map[string]map[evidenceKey]*mirrorpb.MoveEvidence)}
+		e = &daemonEvidence{incarnation: incarnation, latest: make(map[string]*orderEvidence)}
 		p.daemons[peer] = e
 	}
 	limit := maxEvidenceBytes
@@ -78,22 +90,38 @@
 		limit = int(unregisteredFraction * maxEvidenceBytes)
 	}
 	for _, w := range moves {
-		key := evidenceKey{w.GetVersion(), w.GetRoute()}
-		old := e.latest[w.GetService()][key]
-		switch {
-		case old != nil && old.GetElapsedMs() > w.GetElapsedMs():
-			continue // Datagrams may arrive in another order.
-		case old == nil && p.bytes+sizeOf(w) > limit:
+		if order := orderOf(w); (order == upgrade.OrderID{}) {
+			meter.Count("node.evidence_without_order", 1)
+		} else if !p.store(e, w, order, limit) {
 			meter.Count("node.evidence_ignored", 1)
-			continue
-		case old == nil:
-			p.bytes += sizeOf(w)
 		}
-		if e.latest[w.GetService()] == nil {
-			e.latest[w.GetService()] = make(map[evidenceKey]*mirrorpb.MoveEvidence)
+	}
+}
+
+// store stores evidence of a daemon on one route. It reports false if there is no room.
+func (p *peerEvidence) store(e *daemonEvidence, w *mirrorpb.MoveEvidence, order upgrade.OrderID, limit int) bool {
+	o := e.latest[w.GetService()]
+	if o != nil && order.Before(o.order) {
+		return true // Datagrams may arrive in another order.
+	}
+	if o == nil || o.order != order {
+		p.bytes -= e.size(w.GetService())
+		delete(e.latest, w.GetService())
+		o = &orderEvidence{order: order, version: w.GetVersion(), routes: make(map[string]*mirrorpb.MoveEvidence)}
+	}
+	old := o.routes[w.GetRoute()]
+	if old != nil && old.GetElapsedMs() > w.GetElapsedMs() {
+		return true
+	}
+	if old == nil {
+		if p.bytes+sizeOf(w) > limit {
+			return false
 		}
-		e.latest[w.GetService()][key] = w
+		p.bytes += sizeOf(w)
 	}
+	o.routes[w.GetRoute()] = w
+	e.latest[w.GetService()] = o
+	return true
 }
 
 // remove removes the evidence of a daemon.
@@ -106,26 +134,39 @@
 	}
 }
 
-// addTo adds the evidence of the other daemons on a move and returns the longest
-// time since a daemon learned of its order.
-func (p *peerEvidence) addTo(e upgrade.Evidence, service, version string) time.Duration {
+// addTo adds the evidence of the other daemons on an order and returns the longest
+// time since a daemon learned of it.
+func (p *peerEvidence) addTo(e upgrade.Evidence, service string, order upgrade.OrderID) time.Duration {
 	var elapsed time.Duration
 	for _, d := range p.daemons {
-		for key, w := range d.latest[service] {
-			if key.version != version {
-				continue
-			}
+		o := d.latest[service]
+		if o == nil || o.order != order {
+			continue
+		}
+		for route, w := range o.routes {
 			elapsed = max(elapsed, time.Duration(w.GetElapsedMs())*time.Millisecond)
 			r := upgrade.NewRouteEvidence(upgrade.NewTally(int(w.GetOldRequests()), int(w.GetOldBad())),
 				upgrade.NewTally(int(w.GetNewRequests()), int(w.GetNewBad())))
 			if r != (upgrade.RouteEvidence{}) {
-				e.Add(key.route, r)
+				e.Add(route, r)
 			}
 		}
 	}
 	return elapsed
 }
 
+// latestOrder returns the latest order to move a service to a version of which another
+// daemon knows that was given at a position or before it, or the zero value.
+func (p *peerEvidence) latestOrder(service, version string, until upgrade.OrderID) upgrade.OrderID {
+	var latest upgrade.OrderID
+	for _, d := range p.daemons {
+		if o := d.latest[service]; o != nil && o.version == version && latest.Before(o.order) && !until.Before(o.order) {
+			latest = o.order
+		}
+	}
+	return latest
+}
+
 // forget removes the evidence on a service whose order is gone.
 func (p *peerEvidence) forget(service string) {
 	for _, d := range p.daemons {
@@ -134,9 +175,9 @@
 	}
 }
 
-func encodeEvidence(service, version, route string, elapsed time.Duration, r upgrade.RouteEvidence) *mirrorpb.MoveEvidence {
+func encodeEvidence(service, version, route string, order upgrade.OrderID, elapsed time.Duration, r upgrade.RouteEvidence) *mirrorpb.MoveEvidence {
 	return &mirrorpb.MoveEvidence{
-		Service: service, Version: version, Route: route,
+		Service: service, Version: version, Route: route, OrderEra: order.Era(), OrderRevision: order.Revision(),
 		OldRequests: uint32(r.Old().Requests()), OldBad: uint32(r.Old().Bad()),
 		NewRequests: uint32(r.New().Requests()), NewBad: uint32(r.New().Bad()),
 		ElapsedMs: uint32(elapsed.Milliseconds()),
--- a/node/evidence_test.go
+++ b/node/evidence_test.go
@@ -14,8 +14,9 @@
 // Guards against evidence that is counted twice or lost because it arrives in
 // several datagrams, in another order, or from a daemon that has restarted.
 func TestPeerEvidenceParts(t *testing.T) {
+	order := upgrade.NewOrderID(0, 7)
 	evidence := func(route string, newRequests, elapsed int) *mirrorpb.MoveEvidence {
-		return encodeEvidence("shard0", "v2", route, time.Duration(elapsed)*time.Second,
+		return encodeEvidence("shard0", "v2", route, order, time.Duration(elapsed)*time.Second,
 			upgrade.NewRouteEvidence(upgrade.NewTally(100, 1), upgrade.NewTally(newRequests, 0)))
 	}
 	for _, c := range []struct {
@@ -50,7 +51,7 @@
 	p := newPeerEvidence(always, func(peer string) bool { return peer == "10.0.0.2:7" })
 	for _, peer := range []string{"10.0.0.3:7", "10.0.0.2:7"} {
 		for i := range services {
-			p.merge(peer, 1, []*mirrorpb.MoveEvidence{encodeEvidence(fmt.Sprint("shard", i), "v2", "r", time.Second, upgrade.RouteEvidence{})})
+			p.merge(peer, 1, []*mirrorpb.MoveEvidence{encodeEvidence(fmt.Sprint("shard", i), "v2", "r", upgrade.NewOrderID(0, 7), time.Second, upgrade.RouteEvidence{})})
 		}
 	}
 	var got []int
@@ -71,7 +72,7 @@
 func checkEvidence(t *testing.T, p *peerEvidence, want map[string]int) {
 	t.Helper()
 	e := make(upgrade.Evidence)
-	p.addTo(e, "shard0", "v2")
+	p.addTo(e, "shard0", upgrade.NewOrderID(0, 7))
 	got := make(map[string]int)
 	for route, r := range e {
 		got[route] = r.New().Requests()
--- a/node/moves.go
+++ b/node/moves.go
@@ -29,9 +29,9 @@
 	if !d.shouldWatch() || !d.follower.Connected() {
 		return
 	}
-	for o, state := range toPublish {
-		if o.Era() == era {
-			d.publish(ctx, o, state)
+	for _, p := range toPublish {
+		if p.order.Era() == era {
+			d.publish(ctx, p)
 		}
 	}
 }
@@ -42,16 +42,22 @@
 	if g == nil {
 		return moveGroup{}, false
 	}
-	return moveGroup{evidence: g.Evidence, capacity: g.Capacity, setShares: g.SetVersionShares}, true
+	return moveGroup{evidence: g.Evidence, capacity: g.Capacity, versions: g.Versions, divide: g.Divide}, true
 }
 
 // publish writes the state of a move to the store. The store rejects the write
 // if the order has changed in the meantime.
-func (d *Daemon) publish(ctx context.Context, o platform.Order, state upgrade.State) {
+func (d *Daemon) publish(ctx context.Context, p publication) {
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	if err := d.store.PublishState(callCtx, o, state); err != nil {
-		d.log.Warn().Err(err).Str("service", o.Service()).Str("state", string(state)).Msg("publishing the state of a move failed; retrying at the next evaluation")
+	if err := d.store.PublishState(callCtx, p.order, p.id, p.state, p.withheld, p.inForce); err != nil {
+		d.log.Warn().Err(err).Str("service", p.order.Service()).Str("state", string(p.state)).Msg("publishing the state of a move failed; retrying at the next evaluation")
+		return
+	}
+	if p.state == upgrade.Completed {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		d.moves.confirm(p.order.Service(), p.order.Version(), p.id, d.clock.Boot())
 	}
 }
 
@@ -69,5 +75,5 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.moves.peers.merge(m.PeerAddress(), m.Incarnation(), m.Moves())
+	d.moves.merge(m.PeerAddress(), m.Incarnation(), m.Moves(), d.clock.Boot())
 }
--- a/targets/call.go
+++ b/targets/call.go
@@ -28,7 +28,8 @@
 
 	// The group's lock guards these fields until the result is delivered.
 	state        callState
-	toNewVersion bool // It goes to the new version of a version move.
+	toNewVersion bool         // It goes to the new version of a version move.
+	move         *versionMove // The one during which it was submitted, or nil.
 	target       *Target
 	conn         *conn
 	sent         time.Time
--- a/targets/group.go
+++ b/targets/group.go
@@ -109,7 +109,7 @@
 	for _, e := range entries {
 		t := g.findTarget(e)
 		if t == nil {
-			t = &Target{group: g, id: e.id, address: e.address, fingerprint: e.fingerprint(), entry: e}
+			t = &Target{group: g, id: e.id, address: e.address, fingerprint: e.fingerprint(), entry: e, listedAt: now}
 			g.log.Info().Str("service", g.service).Str("target", e.id).Str("address", e.address).
 				Dur("cold_for", e.warmUpLeft).Msg("target added")
 		}
@@ -125,6 +125,9 @@
 		}
 	}
 	g.targets = kept
+	if g.move != nil {
+		g.move.observeTargets(kept)
+	}
 	for _, t := range g.targets {
 		g.ensureConn(t)
 	}
@@ -150,6 +153,7 @@
 	if c.purpose == First {
 		g.budget.earn()
 	}
+	c.move = g.move
 	if g.move != nil {
 		c.toNewVersion = g.move.assignToNew(c.purpose, c.route)
 		if c.toNewVersion && !g.hasTarget(c, now) {
--- a/targets/group_test.go
+++ b/targets/group_test.go
@@ -82,7 +82,7 @@
 		defer f.close()
 		f.addTarget(behaviour(), targets.Version("v2"))
 		f.group.Update(f.entries)
-		f.group.SetVersionShares("v2", upgrade.EqualShare(0.1))
+		f.group.Divide(upgrade.NewDivision(upgrade.NewOrderID(0, 1), "v2", upgrade.EqualShare(0.1)))
 		for i := range 200 {
 			f.send(fmt.Sprintf("q%d", i), true)
 		}
@@ -90,21 +90,21 @@
 		if got < 19 || got > 20 {
 			t.Errorf("the new version got %d of 200 requests, want 19 or 20", got)
 		}
-		f.group.SetVersionShares("v2", upgrade.EqualShare(0))
+		f.group.Divide(upgrade.NewDivision(upgrade.NewOrderID(0, 1), "v2", upgrade.EqualShare(0)))
 		for i := range 50 {
 			f.send(fmt.Sprintf("r%d", i), true)
 		}
 		if n := len(f.targets[2].Runs()) - got; n != 0 {
 			t.Errorf("the new version got %d more requests after its share ended", n)
 		}
-		f.group.SetVersionShares("v2", upgrade.EqualShare(1))
+		f.group.Divide(upgrade.NewDivision(upgrade.NewOrderID(0, 1), "v2", upgrade.EqualShare(1)))
 		for i := range 50 {
 			f.send(fmt.Sprintf("s%d", i), true)
 		}
 		if n := len(f.targets[2].Runs()) - got; n != 50 {
 			t.Errorf("the new version got %d of 50 requests after the move, want all", n)
 		}
-		total := f.group.Evidence().Total()
+		total := f.group.Evidence(upgrade.NewOrderID(0, 1)).Total()
 		oldTally, newTally := total.Old(), total.New()
 		if oldTally.Requests()+newTally.Requests() != 300 || newTally.Requests() != got+50 || newTally.Bad() > 0 {
 			t.Errorf("evidence of %d old and %d new requests, %d bad; want 300 in all, %d new, none bad", oldTally.Requests(), newTally.Requests(), newTally.Bad(), got+50)
--- a/targets/target.go
+++ b/targets/target.go
@@ -55,6 +55,7 @@
 	address     string // Constant, as id.
 	fingerprint uint64 // Constant, as id; see Entry.fingerprint.
 	entry       Entry
+	listedAt    time.Time // When it was added.
 
 	conns         []*conn
 	dialing       int
