--- a/node/settings.go
+++ b/node/settings.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"net/netip"
 	"os"
 	"time"
@@ -31,28 +32,29 @@
 		Peers     string `yaml:"peers"`
 	} `yaml:"listen"`
 	Peers    []string `yaml:"peers"`
-	Capacity float64  `yaml:"capacity"`
+	Capacity figure   `yaml:"capacity"`
 	Store    struct {
 		Address string `yaml:"address"`
 	} `yaml:"store"`
-	AddressTTLMS int64 `yaml:"address_ttl_ms"`
-	ShutdownMS   int64 `yaml:"shutdown_ms"`
+	AddressTTLMS figure `yaml:"address_ttl_ms"`
+	ShutdownMS   figure `yaml:"shutdown_ms"`
+	ShutdownS    figure `yaml:"shutdown_s"` // In place of ShutdownMS.
 	Extra        struct {
-		Ratio float64 `yaml:"ratio"`
-		Slack float64 `yaml:"slack"`
+		Ratio figure `yaml:"ratio"`
+		Slack figure `yaml:"slack"`
 	} `yaml:"extra_sends"`
 	Cold struct {
-		Overshoot float64 `yaml:"overshoot"`
-		Slack     float64 `yaml:"slack"`
+		Overshoot figure `yaml:"overshoot"`
+		Slack     figure `yaml:"slack"`
 	} `yaml:"cold_targets"`
 	Usage    *usageSettings `yaml:"usage"`
 	LogLevel string         `yaml:"log_level"`
-	MemoryMB float64        `yaml:"memory_mb"`
-	MaxFDs   int            `yaml:"max_fds"`
+	MemoryMB figure         `yaml:"memory_mb"`
+	MaxFDs   figure         `yaml:"max_fds"`
 	Clients  struct {
-		StallMS      int64 `yaml:"stall_ms"`
-		MinBytesPerS int64 `yaml:"min_bytes_per_s"`
-		AcceptPerS   int64 `yaml:"accept_per_s"`
+		StallMS      figure `yaml:"stall_ms"`
+		MinBytesPerS figure `yaml:"min_bytes_per_s"`
+		AcceptPerS   figure `yaml:"accept_per_s"`
 	} `yaml:"clients"`
 	Placement string `yaml:"placement"`
 }
@@ -60,6 +62,8 @@
 const (
 	defaultAddressTTL = time.Second
 	defaultShutdown   = 6 * time.Second
+	// minShutdown is the shortest time in which callers and peers can be told.
+	minShutdown = 100 * time.Millisecond
 	// defaultColdOvershoot limits a cold target to its warm-up rate.
 	defaultColdOvershoot = 1.0
 	// minMemoryMB is about twice what a daemon without load takes.
@@ -119,33 +123,58 @@
 			return eris.Errorf("peers[%d]: %q is not an IP address with a port", i, p)
 		}
 	}
-	if f.Capacity < 0 {
+	for _, n := range f.figures() {
+		if err := n.check(); err != nil {
+			return err
+		}
+	}
+	if f.Capacity.value < 0 {
 		return eris.New("capacity: must not be negative")
 	}
-	if f.Extra.Ratio < 0 || f.Extra.Slack < 0 {
+	if f.Extra.Ratio.value < 0 || f.Extra.Slack.value < 0 {
 		return eris.New("extra_sends: ratio and slack must not be negative")
 	}
-	if f.Cold.Overshoot < 0 || f.Cold.Slack < 0 {
+	if f.Cold.Overshoot.value < 0 || f.Cold.Slack.value < 0 {
 		return eris.New("cold_targets: overshoot and slack must not be negative")
 	}
 	if f.Placement != "" && f.Placement != placementLatency && f.Placement != placementCost {
 		return eris.Errorf("placement: %q is neither %q nor %q", f.Placement, placementLatency, placementCost)
 	}
-	if f.AddressTTLMS < 0 || f.ShutdownMS < 0 {
-		return eris.New("address_ttl_ms and shutdown_ms must not be negative")
+	if f.AddressTTLMS.value < 0 {
+		return eris.New("address_ttl_ms: must not be negative")
 	}
-	if f.MemoryMB != 0 && !(f.MemoryMB >= minMemoryMB) {
+	if err := f.checkShutdown(); err != nil {
+		return err
+	}
+	if m := f.MemoryMB.value; m != 0 && m < minMemoryMB {
 		return eris.Errorf("memory_mb: must be at least %d, or 0 if it is unknown", minMemoryMB)
 	}
-	if f.MaxFDs != 0 && f.MaxFDs < minFDs {
+	if n := f.MaxFDs.value; n != 0 && n < minFDs {
 		return eris.Errorf("max_fds: must be at least %d, or 0 if it is unknown", minFDs)
 	}
-	if f.Clients.StallMS < 0 || f.Clients.MinBytesPerS < 0 || f.Clients.AcceptPerS < 0 {
+	if f.Clients.StallMS.value < 0 || f.Clients.MinBytesPerS.value < 0 || f.Clients.AcceptPerS.value < 0 {
 		return eris.New("clients: stall_ms, min_bytes_per_s and accept_per_s must not be negative")
 	}
 	return f.Usage.check()
 }
 
+// checkShutdown checks the time of a shutdown, which has one of two keys.
+func (f *settingsFile) checkShutdown() error {
+	if f.ShutdownMS.value != 0 && f.ShutdownS.value != 0 {
+		return eris.New("shutdown_ms and shutdown_s: only one of them may be set")
+	}
+	for _, t := range []struct {
+		key  string
+		time figure
+		unit time.Duration
+	}{{"shutdown_ms", f.ShutdownMS, time.Millisecond}, {"shutdown_s", f.ShutdownS, time.Second}} {
+		if t.time.value != 0 && t.time.in(t.unit) < minShutdown {
+			return eris.Errorf("%s: %v is less than %v", t.key, t.time.value, minShutdown)
+		}
+	}
+	return nil
+}
+
 // Name returns the daemon's name.
 func (s Settings) Name() string { return s.file.Name }
 
@@ -180,7 +209,7 @@
 func (s Settings) Peers() []string { return s.file.Peers }
 
 // Capacity returns the capacity of the VM in CPU cores, or 0 if it is unknown.
-func (s Settings) Capacity() float64 { return s.file.Capacity }
+func (s Settings) Capacity() float64 { return s.file.Capacity.value }
 
 // StoreAddress returns the address of the platform's store.
 func (s Settings) StoreAddress() string { return s.file.Store.Address }
@@ -188,40 +217,40 @@
 // AddressTTL returns how long callers may cache the addresses from the
 // directory.
 func (s Settings) AddressTTL() time.Duration {
-	if s.file.AddressTTLMS == 0 {
+	if s.file.AddressTTLMS.value == 0 {
 		return defaultAddressTTL
 	}
-	return time.Duration(s.file.AddressTTLMS) * time.Millisecond
+	return s.file.AddressTTLMS.in(time.Millisecond)
 }
 
 // ShutdownTimeout returns the time between SIGTERM and the kill of the process.
 func (s Settings) ShutdownTimeout() time.Duration {
-	if s.file.ShutdownMS == 0 {
-		return defaultShutdown
+	if d := s.file.ShutdownMS.in(time.Millisecond) + s.file.ShutdownS.in(time.Second); d > 0 {
+		return d
 	}
-	return time.Duration(s.file.ShutdownMS) * time.Millisecond
+	return defaultShutdown
 }
 
 // ExtraRatio returns the number of extra sends allowed per request, across all
 // daemons.
-func (s Settings) ExtraRatio() float64 { return s.file.Extra.Ratio }
+func (s Settings) ExtraRatio() float64 { return s.file.Extra.Ratio.value }
 
 // ExtraSlack returns the number of extra sends allowed in addition to the
 // ratio.
-func (s Settings) ExtraSlack() float64 { return s.file.Extra.Slack }
+func (s Settings) ExtraSlack() float64 { return s.file.Extra.Slack.value }
 
 // ColdOvershoot returns the load that a cold target accepts within one second
 // from all daemons, as a multiple of its warm-up rate.
 func (s Settings) ColdOvershoot() float64 {
-	if s.file.Cold.Overshoot == 0 {
+	if s.file.Cold.Overshoot.value == 0 {
 		return defaultColdOvershoot
 	}
-	return s.file.Cold.Overshoot
+	return s.file.Cold.Overshoot.value
 }
 
 // ColdSlack returns the number of requests allowed to a cold target in addition
 // to the load of ColdOvershoot.
-func (s Settings) ColdSlack() float64 { return s.file.Cold.Slack }
+func (s Settings) ColdSlack() float64 { return s.file.Cold.Slack.value }
 
 // LogLevel returns the minimum severity of logged messages, or "" for the
 // default.
@@ -230,24 +259,24 @@
 // clientLimits returns the bounds of what is held for clients.
 func (s Settings) clientLimits() clientbudget.Limits {
 	var opts []clientbudget.LimitOption
-	if ms := s.file.Clients.StallMS; ms > 0 {
-		opts = append(opts, clientbudget.Stall(time.Duration(ms)*time.Millisecond))
+	if d := s.file.Clients.StallMS.in(time.Millisecond); d > 0 {
+		opts = append(opts, clientbudget.Stall(d))
 	}
-	if n := s.file.Clients.MinBytesPerS; n > 0 {
-		opts = append(opts, clientbudget.MinRate(n))
+	if n := s.file.Clients.MinBytesPerS.value; n > 0 {
+		opts = append(opts, clientbudget.MinRate(int64(n)))
 	}
-	if n := s.file.Clients.AcceptPerS; n > 0 {
-		opts = append(opts, clientbudget.AcceptRate(float64(n)))
+	if n := s.file.Clients.AcceptPerS.value; n > 0 {
+		opts = append(opts, clientbudget.AcceptRate(n))
 	}
 	return clientbudget.NewLimits(s.Memory(), s.MaxFDs(), opts...)
 }
 
 // Memory returns the memory of the VM in bytes, or 0 if it is unknown.
-func (s Settings) Memory() int64 { return int64(s.file.MemoryMB * 1e6) }
+func (s Settings) Memory() int64 { return int64(math.Round(s.file.MemoryMB.value * 1e6)) }
 
 // MaxFDs returns the number of descriptors that the process may open, or 0 if it
 // is unknown.
-func (s Settings) MaxFDs() int { return s.file.MaxFDs }
+func (s Settings) MaxFDs() int { return int(s.file.MaxFDs.value) }
 
 // Placement returns the rule by which targets are chosen, "latency" or "cost".
 func (s Settings) Placement() string { return cmp.Or(s.file.Placement, placementLatency) }
--- a/node/usagesettings.go
+++ b/node/usagesettings.go
@@ -14,12 +14,12 @@
 // usageSettings is the section "usage" of the settings file. Without it, requests
 // are not counted and not reported.
 type usageSettings struct {
-	Address        string  `yaml:"address"`
-	Duties         string  `yaml:"duties"` // Duties that the API accepts, separated by commas; empty if not stated.
-	WindowS        float64 `yaml:"window_s"`
-	LeaseMS        int64   `yaml:"lease_ms"`
-	LateS          float64 `yaml:"late_s"`
-	CallsPerSecond float64 `yaml:"calls_per_s"`
+	Address        string `yaml:"address"`
+	Duties         string `yaml:"duties"` // Duties that the API accepts, separated by commas; empty if not stated.
+	WindowS        figure `yaml:"window_s"`
+	LeaseMS        figure `yaml:"lease_ms"`
+	LateS          figure `yaml:"late_s"`
+	CallsPerSecond figure `yaml:"calls_per_s"`
 }
 
 const (
@@ -34,8 +34,6 @@
 	minUsageWindow = 100 * time.Millisecond
 	// minUsageCallsPerSecond permits one report for each of the shortest windows.
 	minUsageCallsPerSecond = 1.0
-	// maxUsageTime keeps windows and leases within what a duration can hold.
-	maxUsageTime = 24 * time.Hour
 )
 
 func (u *usageSettings) check() error {
@@ -45,17 +43,17 @@
 	if _, err := netip.ParseAddrPort(u.Address); err != nil {
 		return eris.Errorf("usage.address: %q is not an IP address with a port", u.Address)
 	}
-	if u.WindowS != 0 && !(u.WindowS >= minUsageWindow.Seconds() && u.WindowS <= maxUsageTime.Seconds()) {
-		return eris.Errorf("usage.window_s: %v is not between %v and %v", u.WindowS, minUsageWindow.Seconds(), maxUsageTime.Seconds())
+	if w := u.WindowS.value; w != 0 && w < minUsageWindow.Seconds() {
+		return eris.Errorf("usage.window_s: %v is not between %v and %v", w, minUsageWindow.Seconds(), maxTimeS)
 	}
-	if u.LeaseMS != 0 && (u.LeaseMS < minUsageLease.Milliseconds() || u.LeaseMS > maxUsageTime.Milliseconds()) {
-		return eris.Errorf("usage.lease_ms: %d is not between %d and %d", u.LeaseMS, minUsageLease.Milliseconds(), maxUsageTime.Milliseconds())
+	if ms := u.LeaseMS.value; ms != 0 && u.LeaseMS.in(time.Millisecond) < minUsageLease {
+		return eris.Errorf("usage.lease_ms: %v is not between %d and %d", ms, minUsageLease.Milliseconds(), maxTimeMS)
 	}
-	if !(u.LateS >= 0 && u.LateS <= maxUsageTime.Seconds()) {
-		return eris.Errorf("usage.late_s: %v is not between 0 and %v", u.LateS, maxUsageTime.Seconds())
+	if s := u.LateS.value; s < 0 {
+		return eris.Errorf("usage.late_s: %v is not between 0 and %v", s, maxTimeS)
 	}
-	if u.CallsPerSecond != 0 && !(u.CallsPerSecond >= minUsageCallsPerSecond) {
-		return eris.Errorf("usage.calls_per_s: %v is less than %v", u.CallsPerSecond, minUsageCallsPerSecond)
+	if n := u.CallsPerSecond.value; n != 0 && n < minUsageCallsPerSecond {
+		return eris.Errorf("usage.calls_per_s: %v is less than %v", n, minUsageCallsPerSecond)
 	}
 	return nil
 }
@@ -73,27 +71,27 @@
 
 // window returns the length of a window.
 func (u *usageSettings) window() time.Duration {
-	return orDefault(time.Duration(u.WindowS*float64(time.Second)), defaultUsageWindow)
+	return orDefault(u.WindowS.in(time.Second), defaultUsageWindow)
 }
 
 // lease returns the time that a new reporting daemon waits before its first
 // report.
 func (u *usageSettings) lease() time.Duration {
-	return orDefault(time.Duration(u.LeaseMS)*time.Millisecond, defaultUsageLease)
+	return orDefault(u.LeaseMS.in(time.Millisecond), defaultUsageLease)
 }
 
 // lateness returns the time after the end of a window at which its report is due.
 func (u *usageSettings) lateness() time.Duration {
-	return orDefault(time.Duration(u.LateS*float64(time.Second)), defaultUsageLateness)
+	return orDefault(u.LateS.in(time.Second), defaultUsageLateness)
 }
 
 // callsPerSecond returns the number of calls that the cloud API accepts from all
 // daemons together.
 func (u *usageSettings) callsPerSecond() float64 {
-	if u.CallsPerSecond == 0 {
+	if u.CallsPerSecond.value == 0 {
 		return defaultUsageCallsPerSecond
 	}
-	return u.CallsPerSecond
+	return u.CallsPerSecond.value
 }
 
 func orDefault(d, otherwise time.Duration) time.Duration {
--- a/settings/decode_test.go
+++ b/settings/decode_test.go
@@ -105,6 +105,7 @@
 		{"duplicate", "domain: d", "domain: d\ndomain: e", "f:4:1: domain: expected each key once"},
 		{"host name", "10.0.0.9:7000", "store:7000", "f:7:18: store.address: expected an IP address"},
 		{"duration without unit", "region: r", "region: r\naddress_ttl: 5", "f:3:14: address_ttl: expected a duration from 1s to 1m0s"},
+		{"fraction of a count", "region: r", "region: r\nonce: {records: 2000.5}", "f:3:17: once.records: expected"},
 		{"out of range", "region: r", "region: r\naddress_ttl: 61s", "f:3:14: address_ttl: expected a duration from 1s to 1m0s"},
 		{"wildcard address", "10.0.0.1:8080", "0.0.0.0:8080", "caller.advertise with an address that others can connect to"},
 		{"equal listeners", "10.0.0.1:8082", "10.0.0.1:8080", "f:6:20: operator.listen: expected an address other than caller.listen"},
