--- a/targets/abandon.go
+++ b/targets/abandon.go
@@ -77,6 +77,9 @@
 	c.learnUnanswered(now)
 	c.target.observe(now, ratio, c.target.weight(c), true)
 	g.reports.record(now, c.target.fingerprint, ratio, true)
+	if c.lowerBound(now) > 1 {
+		g.judge(c, true)
+	}
 	c.observeEnd(Broken)
 	c.state, c.outcome = callDone, Broken
 	c.conn.call = nil
--- a/targets/answer.go
+++ b/targets/answer.go
@@ -127,8 +127,8 @@
 		c.target.observe(now, 0, weight, true)
 		g.reports.record(now, c.target.fingerprint, 0, true)
 	}
-	if g.move != nil && c.move == g.move && o != NotSent {
-		g.move.record(c.target.entry.version, c.route, o != Answered && o.MayHaveRun() || ratio > slowAnswerFactor)
+	if o != NotSent && o != Misdirected {
+		g.judge(c, o != Answered || ratio > slowAnswerFactor)
 	}
 	meter.Count("target.outcome."+string(o), 1)
 }
--- a/targets/call.go
+++ b/targets/call.go
@@ -30,6 +30,7 @@
 	state        callState
 	toNewVersion bool         // It goes to the new version of a version move.
 	move         *versionMove // The one during which it was submitted, or nil.
+	judged       bool         // It has counted as an answer of its version.
 	target       *Target
 	conn         *conn
 	sent         time.Time
--- a/targets/move.go
+++ b/targets/move.go
@@ -143,12 +143,21 @@
 }
 
 // Evidence returns what this daemon has seen of an order, or nothing if the calls are not
-// divided by it.
+// divided by it. Calls that have taken too long already count as bad answers, so that a
+// version which never answers shows before its calls end.
 func (g *Group) Evidence(order upgrade.OrderID) upgrade.Evidence {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.move == nil || g.move.division.Order() != order {
 		return nil
 	}
+	now := g.clock.Now()
+	for _, t := range g.targets {
+		for _, c := range t.calls {
+			if c.lowerBound(now) > slowAnswerFactor {
+				g.judge(c, true)
+			}
+		}
+	}
 	return g.move.collector.Evidence()
 }
