--- a/targets/conn.go
+++ b/targets/conn.go
@@ -98,7 +98,14 @@
 func (c *conn) writeRequest(call *Call, b, body []byte) {
 	if body != nil {
 		go func() {
-			if c.closeOn(call.write.run(func() (int, error) { return c.writeBoth(b, body) })) {
+			if c.closeOn(call.write.run(func() (int, error) {
+				// The end of the call bounds the write; the deadline of an earlier, small
+				// request has passed.
+				if err := c.SetWriteDeadline(time.Time{}); err != nil {
+					return 0, err
+				}
+				return c.writeBoth(b, body)
+			})) {
 				c.target.group.handleBodyWritten(c)
 			}
 		}()
--- a/targets/largebody_test.go
+++ b/targets/largebody_test.go
@@ -2,12 +2,18 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"runtime"
 	"testing"
+	"testing/synctest"
+	"time"
 
+	"github.com/google/go-cmp/cmp"
+
+	"medlaryard.example/medlaryard/clock"
 	"medlaryard.example/medlaryard/targets"
 )
 
@@ -43,3 +49,28 @@
 		t.Errorf("%d bytes were allocated to send a body of %d", n, size)
 	}
 }
+
+// Guards against a large body that cannot be written on a connection on which a small request
+// was written some time ago, because the deadline of that write is still set.
+func TestLargeBodyAfterSmallRequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(1, behaviour())
+		defer f.close()
+		var got []targets.Outcome
+		for i, size := range []int{0, 64 << 10, 0, 64 << 10} {
+			id := fmt.Sprint("q", i)
+			results := make(chan *targets.Call, 1)
+			req := targets.NewRequest(id, http.MethodPost, "/p/"+id, "h", nil, make([]byte, size), true, clock.System{}.Boot()+time.Hour)
+			c := targets.NewCall(req, f.routeLatency, results)
+			if !f.group.Submit(c) {
+				t.Fatal("the call is not accepted")
+			}
+			<-results
+			got = append(got, c.Outcome())
+			time.Sleep(time.Second)
+		}
+		if diff := cmp.Diff([]targets.Outcome{targets.Answered, targets.Answered, targets.Answered, targets.Answered}, got); diff != "" {
+			t.Errorf("outcomes of small and large requests in turn (-want +got):\n%s", diff)
+		}
+	})
+}
