fleet: a datagram with too many entries is not decoded

An entry that takes two bytes in a datagram takes more than a hundred once decoded, so that one datagram of 60 KB costs several megabytes before anything can refuse it.

The test's evidence of moves now names an order: without one it would be ignored and would not test the memory of what is kept.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -239,7 +239,12 @@
 			return // The connection is closed.
 		}
 		h := &mirrorpb.Heartbeat{}
-		if err := decoding.Unmarshal(buf[:n], h); err != nil || !valid(h) {
+		if !decodable(buf[:n]) {
+			err = errEntries
+		} else {
+			err = decoding.Unmarshal(buf[:n], h)
+		}
+		if err != nil || !valid(h) {
 			meter.Count("fleet.received_malformed", 1)
 			if f.malformedLog.AllowN(f.clock.Now(), 1) {
 				f.log.Warn().Err(err).Stringer("sender", sender).Int("bytes", n).Msg("datagram is no heartbeat; ignoring it")
@@ -250,6 +255,9 @@
 	}
 }
 
+// errEntries is logged for a datagram that is not decoded.
+var errEntries = eris.New("malformed, or too many entries")
+
 // decoding discards fields of later versions, which members would hold otherwise.
 var decoding = proto.UnmarshalOptions{DiscardUnknown: true}
 
--- a/standin/clientload/heartbeats_test.go
+++ b/standin/clientload/heartbeats_test.go
@@ -54,13 +54,13 @@
 	}{
 		{"versions", func(h *mirrorpb.Heartbeat, _ int) { h.Versions = versions }},
 		{"evidence of moves", func(h *mirrorpb.Heartbeat, sender int) {
-			for i := range heartbeatBytes / 24 {
-				h.Moves = append(h.Moves, &mirrorpb.MoveEvidence{Service: fmt.Sprintf("s-%d-%d", sender, i), Version: "v"})
+			for i := range heartbeatBytes / 26 {
+				h.Moves = append(h.Moves, &mirrorpb.MoveEvidence{Service: fmt.Sprintf("s-%d-%d", sender, i), Version: "v", OrderRevision: 1})
 			}
 		}},
 		{"empty evidence of moves", func(h *mirrorpb.Heartbeat, _ int) {
 			for range heartbeatBytes / 2 {
-				h.Moves = append(h.Moves, &mirrorpb.MoveEvidence{})
+				h.Moves = append(h.Moves, &mirrorpb.MoveEvidence{}) // Named by no order.
 			}
 		}},
 		{"requests that crash targets", func(h *mirrorpb.Heartbeat, sender int) {
