node, platform: orders are told apart by the revision of the last state written

Change: the daemon that writes a state keeps the revision that the store returns, so that any other revision shows a further order. A daemon that listed all versions at once takes those in force from the published state.

--- a/node/moves.go
+++ b/node/moves.go
@@ -56,7 +56,7 @@
 func (d *Daemon) publish(ctx context.Context, p publication) {
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	err := d.store.PublishState(callCtx, p.order, p.id, p.state, p.withheld, p.inForce)
+	at, err := d.store.PublishState(callCtx, p.order, p.id, p.state, p.withheld, p.inForce)
 	if !platform.IsRejected(err) {
 		d.follower.RecordWrite(stateWrites, err)
 	}
@@ -64,9 +64,10 @@
 		d.log.Warn().Err(err).Str("service", p.order.Service()).Str("state", string(p.state)).Msg("publishing the state of a move failed; retrying at the next evaluation")
 		return
 	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.moves.published(p, at)
 	if p.state == upgrade.Completed {
-		d.mu.Lock()
-		defer d.mu.Unlock()
 		d.moves.confirm(p.order.Service(), p.order.Version(), p.id, d.clock.Boot())
 	}
 }
--- a/node/movetable.go
+++ b/node/movetable.go
@@ -71,7 +71,7 @@
 		if state != upgrade.Running && now-m.changedAt < settleTime {
 			continue
 		}
-		if p := (publication{o, m.id, state, t.withheldOf(o.Service()).reasons(), slices.Sorted(maps.Keys(t.withheldOf(o.Service()).inForce))}); !p.inStore() {
+		if p := (publication{o, m.id, state, t.withheldOf(o.Service()).reasons(), t.withheldOf(o.Service()).versionsInForce()}); !p.inStore() {
 			toPublish = append(toPublish, p)
 		}
 	}
@@ -129,7 +129,7 @@
 	switch {
 	case m.state == upgrade.RolledBack:
 		w.add(m.order.Version(), m.id, upgrade.Bad, now)
-	case len(w.inForce) > 0: // Otherwise it may have been in force itself.
+	case len(w.inForce) > 0 && !w.guessed: // Otherwise it may have been in force itself.
 		w.add(m.order.Version(), m.id, upgrade.Undecided, now)
 	}
 }
@@ -143,7 +143,8 @@
 	if o.PublishedVersion() == o.Version() && !id.Before(o.PublishedOrder()) {
 		published = o.PublishedOrder()
 	}
-	unnamed := published == upgrade.OrderID{} && o.State() != "" // By a daemon of an earlier version.
+	// A daemon of an earlier version names no order.
+	unnamed := o.PublishedOrder() == upgrade.OrderID{} && o.PublishedVersion() == o.Version() && o.State() != ""
 	switch {
 	case m == nil:
 		if (published != upgrade.OrderID{}) {
@@ -193,7 +194,7 @@
 	w := t.withheldOf(o.Service())
 	delete(w.versions, o.Version())
 	if trusted {
-		if first {
+		if first || w.guessed {
 			t.learnWithheld(w, o, now)
 		}
 		if o.State() == upgrade.Completed || o.State() == upgrade.RolledBack {
@@ -225,8 +226,9 @@
 
 // learnWithheld learns from a published state which versions are withheld.
 func (t *moveTable) learnWithheld(w *withheldVersions, o platform.Order, now time.Duration) {
-	if o.State() != upgrade.Completed { // Otherwise they have stopped.
-		for _, version := range o.InForce() {
+	if versions := o.InForce(); len(versions) > 0 && o.State() != upgrade.Completed { // Otherwise they have stopped.
+		w.inForce, w.guessed = make(map[string]time.Duration, len(versions)), false
+		for _, version := range versions {
 			w.inForce[version] = now
 		}
 	}
@@ -341,6 +343,14 @@
 	}
 }
 
+// published records the position at which the store has written a state. If the order is read
+// at another one next, it has been changed since.
+func (t *moveTable) published(p publication, at upgrade.OrderID) {
+	if m := t.moves[p.order.Service()]; m != nil && m.id == p.id && m.order.Position() == p.order.Position() && at != (upgrade.OrderID{}) {
+		m.order = p.order.Published(p.id, p.state, p.withheld, p.inForce, at)
+	}
+}
+
 // confirm records that the store has confirmed the completion of an order.
 func (t *moveTable) confirm(service, version string, order upgrade.OrderID, now time.Duration) {
 	if m := t.moves[service]; m != nil && m.id == order {
--- a/node/withheld.go
+++ b/node/withheld.go
@@ -39,6 +39,7 @@
 	// inForce holds the versions that served before the order and will if it is not
 	// completed, with the boot times at which they were last listed.
 	inForce map[string]time.Duration
+	guessed bool // This daemon has listed them all at once, so they may not all be in force.
 }
 
 func newWithheldVersions() *withheldVersions {
@@ -51,7 +52,7 @@
 func (w *withheldVersions) begin(version string, listed map[string]time.Time, now time.Duration) {
 	delete(w.versions, version)
 	for v := range w.inForce {
-		if has(listed, v) {
+		if has(listed, v) && !w.guessed {
 			return
 		}
 	}
@@ -69,17 +70,22 @@
 			earliest[v] = now
 		}
 	}
-	if has(earliest, version) && len(earliest) > 1 {
-		clear(earliest)
+	w.inForce, w.guessed = earliest, len(earliest) > 1
+}
+
+// versionsInForce returns the versions in force, or nil if they are not known for certain.
+func (w *withheldVersions) versionsInForce() []string {
+	if w.guessed {
+		return nil
 	}
-	w.inForce = earliest
+	return slices.Sorted(maps.Keys(w.inForce))
 }
 
 // add withholds a version whose order has ended. It ignores what precedes a later end.
 func (w *withheldVersions) add(version string, order upgrade.OrderID, why upgrade.Withholding, now time.Duration) {
 	old, ok := w.versions[version]
 	switch {
-	case has(w.inForce, version):
+	case has(w.inForce, version) && !w.guessed:
 		return
 	case has(w.completed, version) && !w.completed[version].order.Before(order):
 		return
@@ -88,6 +94,7 @@
 	case ok && order == old.order && old.why == upgrade.Bad:
 		why = upgrade.Bad
 	}
+	delete(w.inForce, version)
 	w.versions[version] = withheldVersion{order: order, why: why, listedAt: now}
 }
 
@@ -103,7 +110,7 @@
 	}
 	delete(w.versions, version)
 	w.completed[version] = completedOrder{order: order, at: now}
-	w.inForce = map[string]time.Duration{version: now}
+	w.inForce, w.guessed = map[string]time.Duration{version: now}, false
 }
 
 func has[V any](m map[string]V, key string) bool {
