node: the outcome of an order is read from the order that replaces it

Change: writing an order leaves the state of the one before in the store, and a daemon that reads a later order learns from there how the former one has ended.

--- a/node/movetable.go
+++ b/node/movetable.go
@@ -178,6 +178,7 @@
 	// The state of another order, also of one for the same version, is not that of this one.
 	trusted := o.PublishedVersion() == o.Version() && (o.PublishedOrder() == id || o.PublishedOrder() == upgrade.OrderID{} && (first || m.id == id))
 	if first || m.id != id {
+		t.learnOutcome(o, m, now)
 		t.end(o.Service(), now)
 		if first && !trusted {
 			t.learnEnded(o, now)
@@ -208,6 +209,21 @@
 	return m
 }
 
+// learnOutcome learns how the order known so far has ended from the state that a later order
+// has in the store: writing an order leaves the state of the one before.
+func (t *moveTable) learnOutcome(o platform.Order, m *moveState, now time.Duration) {
+	if m == nil || o.PublishedOrder() != m.id || o.PublishedVersion() != m.order.Version() {
+		return
+	}
+	switch o.State() {
+	case upgrade.Completed:
+		t.confirm(o.Service(), m.order.Version(), m.id, now)
+	case upgrade.RolledBack:
+		m.state = upgrade.RolledBack
+	case upgrade.Running:
+	}
+}
+
 // learnEnded withholds the version of an earlier order of which the store still has the
 // state.
 func (t *moveTable) learnEnded(o platform.Order, now time.Duration) {
